--- /dev/null
+++ b/plumrack/__init__.py
@@ -0,0 +1,1 @@
+"""plumrack: the real sidecar, real sockets around the decisions of spokespoke."""
--- /dev/null
+++ b/plumrack/discovery.py
@@ -0,0 +1,247 @@
+"""The list of endpoints: one watch at a time, its lines as news for the module, its silence as its end."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from hashlib import blake2b
+from math import isfinite
+from typing import Any, NamedTuple, cast
+
+import httptools
+from spokespoke.interface import Endpoint, ListKind, ListNews, State
+
+from .config import Names, address
+from .log import say
+
+STATES = {"Ready": State.READY, "Terminating": State.DRAINING, "Gone": State.GONE}
+FIRST_S = 6.0        # how long a call may take until its first bytes
+SILENT_S = 4.5       # a watch says something every 2 s: two missed heartbeats and it is broken
+MOST_LINE = 8 << 20  # bytes of one line, far more than any list
+MOST_CELL = 65535
+
+
+class HostLine(NamedTuple):
+    """One entry of a list: what the module is told, and where the endpoint listens."""
+
+    endpoint: Endpoint
+    name: str
+    ip: str
+    port: int
+
+
+class LineError(ValueError):
+    """A line can't be read, so the list can't be followed any further."""
+
+
+def endpoint_id(host: str) -> int:
+    """The number of an endpoint: the same at every sidecar and after every restart."""
+    return int.from_bytes(blake2b(host.encode(), digest_size=4).digest(), "big")
+
+
+def _amount(entry: dict[str, Any], key: str, default: float) -> float:
+    value = entry.get(key, default)
+    if isinstance(value, bool) or not isinstance(value, int | float) or not isfinite(value) or value < 0:
+        raise ValueError(f"{key}: {value!r}")
+    return float(value)
+
+
+def read_entry(entry: Any, names: Names) -> HostLine:
+    """ValueError if the entry can't be read.
+
+    Of an endpoint that is draining or gone only its name must be readable: a drain counts as told once it is
+    written, so no flaw elsewhere in the entry may hide it.
+    """
+    if not isinstance(entry, dict) or not isinstance(entry.get("host"), str) or not entry["host"]:
+        raise ValueError(f"no host: {entry!r}"[:200])
+    host: str = entry["host"]
+    state = STATES.get(str(entry.get("health")))
+    if state is None:
+        raise ValueError(f"{host}: health: {entry.get('health')!r}")
+    zone = names.zones.get(str(entry.get("site")), len(names.zones))
+    kind = names.kinds.get(str(entry.get("class")), len(names.kinds))
+    try:
+        ip, port = address(entry.get("dial"))
+        cell = int(_amount(entry, "block", 0.0))
+        if cell > MOST_CELL:
+            raise ValueError(f"block: {cell}")
+        share, born = _amount(entry, "share", 1.0), _amount(entry, "born_ms", 0.0)
+    except ValueError as error:
+        if state is State.READY:
+            raise ValueError(f"{host}: {error}") from None
+        ip, port, cell, share, born = "", 0, 0, 1.0, 0.0
+    return HostLine(Endpoint(endpoint_id(host), state, zone, cell, kind, share, born), host, ip, port)
+
+
+def read_list(data: Any, names: Names) -> tuple[int, bool, list[HostLine]]:
+    """Version, wholeness and readable entries of a line."""
+    if not isinstance(data, dict):
+        raise LineError("not an object")
+    seq, hosts, whole = data.get("seq"), data.get("hosts"), data.get("whole")
+    if isinstance(seq, bool) or not isinstance(seq, int) or seq < 0 or not isinstance(hosts, list) \
+            or not isinstance(whole, bool):
+        raise LineError("seq, whole or hosts is missing or of the wrong type")
+    lines = []
+    for entry in hosts:
+        try:
+            lines.append(read_entry(entry, names))
+        except ValueError as error:
+            say("entry skipped", error)
+    return seq, whole, lines
+
+
+class Discovery:
+    """Follows the list for as long as the module wants it."""
+
+    def __init__(self, where: tuple[str, int], names: Names, news: Callable[[ListNews], None],
+                 update: Callable[[list[HostLine], bool], None], knows: Callable[[HostLine], bool]) -> None:
+        self._where, self._names = where, names
+        self._news, self._update, self._knows = news, update, knows
+        self._loop = asyncio.get_running_loop()
+        self._watch: _Watch | None = None
+        self.seq = 0
+        self.lost_track = False  # the next watch must begin with the whole list, whatever its version
+
+    def cached(self, known: dict[str, Any]) -> None:
+        """The list as this sidecar last had it."""
+        try:
+            self.seq, _, lines = read_list({**known, "whole": True}, self._names)
+        except LineError as error:
+            say("known list not used", error)
+            lines = []
+        self._tell(ListKind.CACHED, lines)
+
+    def watch(self) -> None:
+        if self._watch is None:
+            self._watch = _Watch(self)
+            self._watch.open(self._loop, self._where)
+
+    def stop(self) -> None:
+        """End the watch; nobody is told, as nobody wants it any more."""
+        watch, self._watch = self._watch, None
+        if watch:
+            watch.close()
+
+    def failed(self, watch: _Watch, why: object) -> None:
+        """The watch has ended: once for each, the module is told, and it decides when to ask again."""
+        if watch is not self._watch:
+            return
+        say("watch ended", why)
+        self.stop()
+        self._news(ListNews(ListKind.FAILED, 0, ()))
+
+    def sweep(self) -> None:
+        watch = self._watch
+        if watch and self._loop.time() > watch.silent_at:
+            self.failed(watch, "silent for too long")
+
+    def take(self, line: bytes, fresh: bool) -> None:
+        """One line of the watch.  A fresh whole list is taken whatever its version."""
+        try:
+            seq, whole, lines = read_list(json.loads(line), self._names)
+        except (ValueError, RecursionError) as error:
+            self.lost_track = True
+            raise LineError(f"line can't be read: {error}") from None
+        if fresh and not whole:
+            raise LineError("asked for the whole list and got a part")
+        if seq < self.seq and not fresh:
+            self.lost_track = True
+            raise LineError(f"version went back from {self.seq} to {seq}")
+        self.seq = seq
+        if fresh:
+            self.lost_track = False
+        self._tell(ListKind.FULL if whole else ListKind.CHANGES, lines)
+
+    def _tell(self, kind: ListKind, lines: list[HostLine]) -> None:
+        own = []
+        for line in lines:
+            if self._knows(line):
+                own.append(line)
+            else:
+                say("entry skipped", f"{line.name}: its number belongs to another endpoint")
+        self._update(own, kind is not ListKind.CHANGES)
+        self._news(ListNews(kind, self.seq, tuple(line.endpoint for line in own)))
+
+
+class _Watch(asyncio.Protocol):
+    """One connection to discovery: the watch, after the whole list where track was lost."""
+
+    def __init__(self, owner: Discovery) -> None:
+        self._owner = owner
+        self._parser = httptools.HttpResponseParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._fresh = owner.lost_track  # this answer is the whole list, not yet the watch
+        self._line = bytearray()
+        self._status, self._over = 0, False
+        self.silent_at = 0.0
+
+    def open(self, loop: asyncio.AbstractEventLoop, where: tuple[str, int]) -> None:
+        self._loop, self._host = loop, f"{where[0]}:{where[1]}"
+        self.silent_at = loop.time() + FIRST_S
+        self._task = loop.create_task(self._dial(where))
+
+    async def _dial(self, where: tuple[str, int]) -> None:
+        try:
+            await self._loop.create_connection(lambda: self, *where)
+        except OSError as error:
+            self._owner.failed(self, error)
+
+    def close(self) -> None:
+        if self._task:
+            self._task.cancel()
+        if self._transport:
+            self._transport.abort()
+
+    def _ask(self) -> None:
+        path = "" if self._fresh else f"?watch=1&from={self._owner.seq}"
+        if self._transport:
+            head = f"GET /catalog/members{path} HTTP/1.1\r\nHost: {self._host}\r\n\r\n"
+            self._transport.write(head.encode())
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport, self._task = cast(asyncio.Transport, transport), None
+        self._ask()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._transport = None
+        self._owner.failed(self, exc or "connection closed")
+        del self._parser  # it holds this object too
+
+    def data_received(self, data: bytes) -> None:
+        self.silent_at = self._loop.time() + SILENT_S
+        try:
+            self._parser.feed_data(data)
+            if self._line and len(self._line) > MOST_LINE:
+                raise LineError("line too long")
+            self._lines()
+        except (LineError, httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._owner.failed(self, error)
+
+    def on_headers_complete(self) -> None:
+        self._status = self._parser.get_status_code()
+
+    def on_body(self, data: bytes) -> None:
+        if self._status == 200:
+            self._line += data
+
+    def on_message_complete(self) -> None:
+        self._over = self._status >= 200
+
+    def _lines(self) -> None:
+        """Take all lines that are whole; what is behind the last line's end waits for the rest."""
+        if self._fresh:
+            if self._over and self._status == 200:
+                line, self._line, self._over = bytes(self._line), bytearray(), False
+                self._owner.take(line, True)
+                self._fresh = False
+                self._ask()
+        elif b"\n" in self._line:
+            *lines, rest = bytes(self._line).split(b"\n")
+            self._line = bytearray(rest)
+            for line in lines:
+                if line.strip():
+                    self._owner.take(line, False)
+        if self._over:
+            raise LineError(f"ended with status {self._status}")
--- /dev/null
+++ b/plumrack/upstream.py
@@ -0,0 +1,514 @@
+"""Connections to endpoints, one request each, and the attempts on them: socket facts become outcomes.
+
+Nothing is ever sent twice from here: an attempt that breaks is reported, and the module decides.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import select
+from collections.abc import Callable
+from typing import cast
+
+import httptools
+from spokespoke.interface import Outcome, Settings, State
+
+from .clock import Clock
+from .discovery import HostLine
+from .engine import Call, Engine
+from .limits import Bytes, Descriptors
+from .log import say
+
+WHOLE = 65536           # answers up to this size are held whole, longer ones pass through
+PIECE = 65536           # a long body is written in pieces of this size
+MOST_HEAD = 65536       # an answer's header block
+IDLE_PART = 0.8         # of the time after which an endpoint closes an idle connection
+STALL_MS = 5000.0       # a long answer that stands still for so long has broken
+PROBE_MS = 500.0        # how long a probe may take once its connection is up
+
+
+class Host:
+    """An endpoint: where it listens and the connections to it that stand idle, the latest used last."""
+
+    __slots__ = ("born_ms", "eid", "heard_ms", "idle", "ip", "name", "port", "ready")
+
+    def __init__(self, eid: int, name: str) -> None:
+        self.eid, self.name, self.ip, self.port, self.born_ms = eid, name, "", 0, -1.0
+        self.ready = False
+        self.heard_ms = 0.0
+        self.idle: list[Connection] = []
+
+
+class Attempt:
+    """One sending of a request, or a probe (`call` is then a request of nobody's)."""
+
+    __slots__ = ("call", "conn", "eid", "expires_ms", "host", "number", "sent_ms", "timer")
+
+    def __init__(self, call: Call, number: int, host: Host, sent_ms: float, expires_ms: float) -> None:
+        self.call, self.number, self.host, self.eid = call, number, host, host.eid
+        self.sent_ms, self.expires_ms = sent_ms, expires_ms
+        self.conn: Connection | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+
+class Connection(asyncio.Protocol):
+    """A connection to an endpoint, from the dial on."""
+
+    def __init__(self, upstream: Upstream, host: Host) -> None:
+        self._up, self.host = upstream, host
+        self.born_ms = host.born_ms
+        self._parser = httptools.HttpResponseParser(self)
+        self._transport: asyncio.Transport | None = None
+        self.dial: asyncio.Task[None] | None = None
+        self.attempt: Attempt | None = None
+        self.idle_since = self.heard_ms = 0.0
+        self._body: bytes | bytearray = b""
+        self._offset = 0          # how much of a long body was handed to the transport
+        self._unwritten = False   # some of the request was not handed over yet
+        self._blocked = False     # some of what was handed over is not written yet
+        self._stray = False       # it sent what nobody asked for
+        self._fresh()
+
+    def _fresh(self) -> None:
+        self._status = self._length = 0
+        self._head_size = 0
+        self._headers = self._report = b""
+        self._framed = self._not_run = self._keep = self._complete = self._bad = False
+        self._held: list[bytes] = []
+        self._size = 0
+        self._first_ms = 0.0      # elapsed when the answer's first bytes came
+
+    # -- the request
+
+    def carry(self, attempt: Attempt) -> None:
+        """Send this attempt, now or as soon as the connection is up."""
+        self.attempt, attempt.conn = attempt, self
+        self._fresh()
+        self._unwritten = True
+        if self._transport:
+            self._write(self._transport)
+
+    def _write(self, transport: asyncio.Transport) -> None:
+        attempt = self.attempt
+        assert attempt
+        call, body = attempt.call, attempt.call.body
+        # The deadline goes on as the time that is left of this attempt.
+        left = max(0.0, attempt.expires_ms - self._up.clock.now()) / 1000
+        head = b"%bX-Deadline: %.3f\r\n\r\n" % (call.head, left)
+        self._body, self._offset = body, 0
+        if len(body) <= PIECE:
+            self._offset = len(body)
+            transport.write(head + body if body else head)
+            self._unwritten = transport.is_closing()
+        else:
+            transport.write(head)
+            self._pump(transport)
+
+    def _pump(self, transport: asyncio.Transport) -> None:
+        """Hand over the next pieces of a long body as the endpoint takes them, so that no copy piles up."""
+        body, view = self._body, memoryview(self._body)
+        while self._offset < len(body) and not self._blocked and not transport.is_closing():
+            transport.write(bytes(view[self._offset:self._offset + PIECE]))
+            self._offset += PIECE
+        if self._offset >= len(body):
+            self._unwritten = transport.is_closing()
+
+    def pause_writing(self) -> None:
+        self._blocked = True
+
+    def resume_writing(self) -> None:
+        self._blocked = False
+        if self._unwritten and self._transport:
+            self._pump(self._transport)
+
+    @property
+    def written(self) -> bool:
+        """The request's last byte is in the kernel's hands: from here on it may have run.
+
+        With a high-water mark of 0 the transport calls pause_writing whenever it holds anything back.
+        """
+        return not self._unwritten and not self._blocked
+
+    # -- the connection
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+        self._transport.set_write_buffer_limits(high=0)
+        self._poller = select.poll()
+        self._poller.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
+        self.dial = None
+        if self.attempt:
+            self._write(self._transport)
+        else:
+            self.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._transport = None
+        self._up.lost(self)
+        if self.attempt:
+            self._break()
+        del self._parser  # it holds this object too
+
+    def eof_received(self) -> None:
+        # httptools is never told of the end: a body that the end delimits is whole here.
+        if self.attempt and self._status >= 200 and not self._framed and not self._complete and not self._bad:
+            self._keep = False
+            self._done()
+
+    def close(self) -> None:
+        if self.dial:
+            self.dial.cancel()
+        if self._transport:
+            self._transport.abort()
+
+    def reusable(self) -> bool:
+        """Nothing has come that nobody asked for: neither an end nor bytes, not even ones still unread."""
+        return (self._transport is not None and not self._transport.is_closing() and not self._stray
+                and not self._poller.poll(0))
+
+    # -- the answer
+
+    def data_received(self, data: bytes) -> None:
+        attempt = self.attempt
+        self.heard_ms = self.host.heard_ms = self._up.clock.now()
+        if attempt is None:
+            self._stray = True
+            self._up.drop(self)
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._bad = self._bad or not self._complete
+            self._keep = False
+        if not self._status:
+            self._head_size += len(data)
+        if self._complete and not self._bad:
+            self._done()
+        elif self._bad or self._head_size > MOST_HEAD:
+            self._break()
+
+    def on_message_begin(self) -> None:
+        if self._complete:
+            self._stray = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self._complete:
+            return
+        self._head_size += len(name) + len(value)
+        name = name.lower()
+        if name == b"content-length":
+            self._framed, self._length = True, int(value)
+        elif name == b"x-load":
+            self._report = value
+        elif name == b"x-not-run":
+            self._not_run = value == b"1"
+        elif name == b"transfer-encoding":
+            self._framed = True
+            self._bad = self._bad or value.lower() != b"chunked"
+        elif name.startswith(b"content-"):
+            self._headers += b"%b: %b\r\n" % (name, value)
+
+    def on_headers_complete(self) -> None:
+        if self._complete:
+            return
+        self._status = self._parser.get_status_code()
+        if self._status < 200:
+            return
+        if self._status == 200 and not self.written:
+            # An endpoint begins when the last byte has come: this answers something else.
+            self._bad = True
+        if self.attempt:
+            self._first_ms = self.heard_ms - self.attempt.sent_ms
+
+    def on_body(self, data: bytes) -> None:
+        attempt = self.attempt
+        if self._complete or self._bad or attempt is None or self._status != 200:
+            return  # only a 200's body is anybody's
+        call = attempt.call
+        if call.stream is attempt:
+            if not call.client.more(call, data):
+                self.pause()
+        elif not call.over and call.stream is None:
+            if self._size + len(data) <= WHOLE >= self._length and self._up.memory.take(len(data)):
+                self._size += len(data)
+                self._held.append(data)
+            elif attempt.number >= 0:
+                self._commit(attempt, data)
+
+    def _commit(self, attempt: Attempt, data: bytes) -> None:
+        """Longer than is held whole: what has come goes to the client, and the rest as it comes."""
+        if attempt.timer:
+            attempt.timer.cancel()
+        call = attempt.call
+        self._up.streams.add(self)
+        self._up.engine.commit(attempt, self._first_ms, self._headers, self._length)
+        held = b"".join(self._held) + data
+        self._let_go()
+        if not call.client.more(call, held):
+            self.pause()
+
+    def on_message_complete(self) -> None:
+        if self._complete:
+            return
+        if self._status < 200:
+            if self._status == 101:
+                self._bad = True
+            self._fresh_head()
+            return
+        self._complete = True
+        self._keep = self._parser.should_keep_alive()
+
+    def _fresh_head(self) -> None:
+        """An interim answer is over; the real one follows."""
+        size, bad = self._head_size, self._bad
+        self._fresh()
+        self._head_size, self._bad = size, bad
+
+    def _let_go(self) -> None:
+        self._up.memory.give(self._size)
+        self._held, self._size = [], 0
+
+    def pause(self) -> None:
+        if self._transport:
+            self._transport.pause_reading()
+
+    def resume(self) -> None:
+        self.heard_ms = self._up.clock.now()
+        if self._transport:
+            self._transport.resume_reading()
+
+    def stalled(self, now: float) -> bool:
+        """The endpoint of a long answer has fallen silent, and not because we have stopped reading."""
+        return bool(self._transport and self._transport.is_reading() and now - self.heard_ms > STALL_MS)
+
+    def _done(self) -> None:
+        """A whole answer: report it, after the connection is back where the next attempt can find it."""
+        attempt, status = self._detach(), self._status
+        body, headers = b"".join(self._held) if self._held else b"", self._headers
+        self._let_go()
+        if self._keep and self.written and not self._stray:
+            self._up.release(self)
+        else:
+            self.close()
+        if status == 200:
+            outcome = Outcome.OK
+        elif status in (503, 504) and self._not_run:
+            outcome = Outcome.FULL
+        else:
+            outcome = Outcome.ERROR
+        self._up.report(attempt, outcome, self._report, self._first_ms, headers, body)
+
+    def _break(self) -> None:
+        """The connection broke, or spoke what is no answer: whether the last byte was out decides."""
+        outcome = Outcome.RESET if self.written else Outcome.CONNECT_FAILED
+        self.stop(outcome)
+
+    def stop(self, outcome: Outcome) -> None:
+        """End the attempt and with it the connection, which is how an attempt is given up."""
+        attempt, elapsed = self._detach(), 0.0
+        self._let_go()
+        self.close()
+        if attempt.call.stream is attempt:
+            elapsed = self._first_ms
+        self._up.report(attempt, outcome, b"", elapsed)
+
+    def _detach(self) -> Attempt:
+        attempt = self.attempt
+        assert attempt
+        self.attempt = attempt.conn = None
+        self._body = b""
+        self._up.streams.discard(self)
+        if attempt.timer:
+            attempt.timer.cancel()
+        return attempt
+
+
+class Upstream:
+    """All endpoints, and all connections to them."""
+
+    def __init__(self, settings: Settings, clock: Clock, engine: Engine, memory: Bytes,
+                 descriptors: Descriptors, read_report: Callable[[bytes], tuple[float, ...]]) -> None:
+        self.clock, self.engine, self.memory = clock, engine, memory
+        self._fds, self._read_report = descriptors, read_report
+        self._loop = asyncio.get_running_loop()
+        self._dial_s = settings.dial_timeout_ms / 1000
+        self._idle_ms = settings.idle_ms * IDLE_PART
+        self._pulled = settings.reports_pulled
+        self._hosts: dict[int, Host] = {}
+        self._conns: set[Connection] = set()
+        self.streams: set[Connection] = set()
+        descriptors.reclaimers.append(self._reclaim)
+
+    # -- the list
+
+    def knows(self, line: HostLine) -> bool:
+        """Whether this line's number is its own: two names may have one hash."""
+        host = self._hosts.get(line.endpoint.endpoint)
+        return host is None or host.name == line.name
+
+    def update(self, lines: list[HostLine], whole: bool) -> None:
+        named = set()
+        for line in lines:
+            entry = line.endpoint
+            named.add(entry.endpoint)
+            host = self._hosts.get(entry.endpoint)
+            if host is None:
+                host = self._hosts[entry.endpoint] = Host(entry.endpoint, line.name)
+            moved = (host.ip, host.port, host.born_ms) != (line.ip, line.port, entry.booted_ms)
+            host.ip, host.port, host.born_ms = line.ip, line.port, entry.booted_ms
+            host.ready = entry.state is State.READY
+            if moved or not host.ready:
+                self.close_idle(host.eid)  # they lead to a process that is gone, or nothing new may go there
+            if entry.state is State.GONE:
+                self._hosts.pop(host.eid)
+        for eid in ([e for e in self._hosts if e not in named] if whole else ()):
+            self._hosts[eid].ready = False
+            self.close_idle(eid)
+            self._hosts.pop(eid)
+
+    # -- attempts
+
+    def start(self, call: Call, number: int, eid: int, now: float, expires_ms: float) -> None:
+        host = self._hosts.get(eid)
+        attempt = Attempt(call, number, host or Host(eid, ""), now, expires_ms)
+        call.attempts[number] = attempt
+        conn = self._connection(host) if host and host.ready else None
+        if conn is None:
+            self.report(attempt, Outcome.NOT_SENT, b"", 0.0)
+            return
+        attempt.timer = self._loop.call_later((expires_ms - now) / 1000, self._expired, attempt)
+        conn.carry(attempt)
+
+    def _connection(self, host: Host) -> Connection | None:
+        """The idle connection that was used last, or a new one; None where there is no descriptor left."""
+        while host.idle:
+            conn = host.idle.pop()
+            if conn.reusable():
+                return conn
+            conn.close()
+        if not self._fds.take():
+            say("no connection", "all descriptors are in use")
+            return None
+        conn = Connection(self, host)
+        self._conns.add(conn)
+        conn.dial = self._loop.create_task(self._dial(conn))
+        return conn
+
+    async def _dial(self, conn: Connection) -> None:
+        try:
+            async with asyncio.timeout(self._dial_s):
+                await self._loop.create_connection(lambda: conn, conn.host.ip, conn.host.port)
+        except (OSError, TimeoutError):
+            conn.dial = None
+            if conn.attempt:
+                conn.stop(Outcome.CONNECT_FAILED)
+            self.lost(conn)
+        except asyncio.CancelledError:
+            self.lost(conn)
+            raise
+
+    def _expired(self, attempt: Attempt) -> None:
+        conn = attempt.conn
+        # Unanswered, and nothing else heard from there since: its other connections may be just as dead.
+        if attempt.host.heard_ms < attempt.sent_ms:
+            self.close_idle(attempt.eid)
+        self.give_up(attempt, Outcome.TIMEOUT if conn and conn.written else Outcome.CONNECT_FAILED)
+
+    def give_up(self, attempt: Attempt, outcome: Outcome) -> None:
+        if attempt.conn:
+            attempt.conn.stop(outcome)
+
+    def report(self, attempt: Attempt, outcome: Outcome, text: bytes, first_ms: float,
+               headers: bytes = b"", body: bytes = b"") -> None:
+        """Tell the engine.  A long answer's time is that of its first bytes."""
+        values = self._read_report(text) if text else ()
+        elapsed = self.clock.now() - attempt.sent_ms
+        if attempt.number < 0:
+            if self._pulled and body and not values:
+                values = self._read_report(body.strip())
+            self.engine.probed(attempt.eid, elapsed, outcome, values)
+        else:
+            streamed = attempt.call.stream is attempt
+            self.engine.ended(attempt, outcome, values, first_ms if streamed else elapsed, headers, body)
+
+    def probe(self, eid: int) -> None:
+        """Ask an endpoint how it is.  The answer counts as the table of outcomes says."""
+        host, now = self._hosts.get(eid), self.clock.now()
+        conn = self._connection(host) if host else None
+        if not host or conn is None:
+            self.engine.probed(eid, 0.0, Outcome.NOT_SENT, ())
+            return
+        path = b"/_load" if self._pulled else b"/ping"
+        call = Call(NOBODY, b"GET %b HTTP/1.1\r\nHost: origin.svc\r\n" % path, b"", True)
+        wait = PROBE_MS + self._dial_s * 1000
+        attempt = Attempt(call, -1, host, now, now + wait)
+        attempt.timer = self._loop.call_later(wait / 1000, self._expired, attempt)
+        conn.carry(attempt)
+
+    # -- connections
+
+    def release(self, conn: Connection) -> None:
+        """Keep a connection for the next attempt, if its endpoint is still the one it was opened to."""
+        host = conn.host
+        if host.ready and conn.born_ms == host.born_ms:
+            conn.idle_since = self.clock.now()
+            host.idle.append(conn)
+        else:
+            conn.close()
+
+    def drop(self, conn: Connection) -> None:
+        """An idle connection that is of no more use."""
+        if conn in conn.host.idle:
+            conn.host.idle.remove(conn)
+        conn.close()
+
+    def lost(self, conn: Connection) -> None:
+        if conn in self._conns:
+            self._conns.discard(conn)
+            self._fds.give()
+        if conn in conn.host.idle:
+            conn.host.idle.remove(conn)
+
+    def close_idle(self, eid: int) -> None:
+        host = self._hosts.get(eid)
+        if host:
+            idle, host.idle = host.idle, []
+            for conn in idle:
+                conn.close()
+
+    def _reclaim(self) -> bool:
+        """Close the connection that has stood idle for the longest."""
+        host = min((h for h in self._hosts.values() if h.idle), key=lambda h: h.idle[0].idle_since,
+                   default=None)
+        if host:
+            self.drop(host.idle[0])
+        return host is not None
+
+    def sweep(self) -> None:
+        """Now and then: drop what has stood idle for long, and long answers that stand still."""
+        now = self.clock.now()
+        for host in self._hosts.values():
+            while host.idle and now - host.idle[0].idle_since > self._idle_ms:
+                self.drop(host.idle[0])
+        for conn in [c for c in self.streams if c.stalled(now)]:
+            conn.stop(Outcome.RESET)
+
+    def close(self) -> None:
+        for conn in list(self._conns):
+            conn.close()
+
+
+class _Nobody:
+    """The client of a probe."""
+
+    def answer(self, call: Call, status: int, retry_after_ms: float = 0.0) -> None: ...
+    def serve(self, call: Call, headers: bytes, body: bytes) -> None: ...
+    def begin(self, call: Call, headers: bytes, length: int) -> bool:
+        return True
+    def more(self, call: Call, data: bytes) -> bool:
+        return True
+    def end(self, call: Call) -> None: ...
+    def broken(self, call: Call) -> None: ...
+
+
+NOBODY = _Nobody()
--- /dev/null
+++ b/spokespoke/brain.py
@@ -0,0 +1,448 @@
+"""Every decision of the balancer; the types that go in and out are in interface.py.
+
+Each client keeps a probability c per server, draws a control set with independent coins, sends to the member
+with the least reported load over estimated speed, and moves c by whether latency beat its own running target.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect
+from collections.abc import Callable
+from math import frexp, log, log1p
+from random import Random
+
+from .interface import (Action, AttemptEnded, CloseIdle, Departed, Effect, Endpoint, Event, Fail,
+                        ListKind, ListNews, Outcome, Probe, Probed, Refuse, Request, Scope, Send, SetTimer,
+                        Settings, State, StreamBegan, TimerFired, Watch)
+from .records import Server, Work, spread
+
+RAISE, LOWER = 0.1, 0.15         # a and b of the automaton
+SET_LEAST, SET_MOST = 4.0, 8.0   # bounds of the expected control set
+FAVOURED, FLOOR_SET = 6, 0.3    # servers that start likely; what all floors together add to a set
+WARM = 0.7                       # part of the usual work where a key may be known
+LEVELS = 14                      # levels of c, each half of the one before
+NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
+WATCH, HOLD = 0, 1               # timer tokens: the list; above it, a held request's id
+
+
+class Balancer:
+    """One client's decisions: the same events give the same actions."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.s, self.rng = settings, Random(seed)
+        self.rnd = self.rng.random
+        self.now, self.acts = 0.0, list[Action]()
+        self.servers: dict[int, Server] = {}
+        self.ready: list[Server] = []
+        self.levels: list[list[Server]] = [[] for _ in range(LEVELS)]
+        self.gaps = [log1p(-(0.5 ** k)) if k else 0.0 for k in range(LEVELS)]
+        self.total, self.floor, self.watch_fails = 0.0, 0.01, 0
+        self.work: dict[int, Work] = {}
+        self.full, self.asked, self.good = 0.0, 10.0, 10.0
+        self.ring: list[tuple[int, Server]] = []
+        self.mix = [1.0 / len(settings.classes)] * len(settings.classes)
+        classes = settings.classes
+        self.most_worth = max([1e-9] + [c.worth for c in classes])
+        self.target = [c.aim_ms / 4 for c in classes]
+        self.service = [c.aim_ms / 4 for c in classes]
+        self.fit = [[1.0] * len(classes) for _ in range(settings.kinds + 1)]
+        self.mean_load, self.mean_share, self.rate, self.rate_at = 0.0, 1.0, 0.0, 0.0
+        self.count = [0] * len(classes)
+        self.field = next((i for i, f in enumerate(settings.report_fields) if f in ("waiting", "active")), -1)
+
+    def handle(self, now_ms: float, event: Event) -> list[Action]:
+        """Take one event, give the actions it calls for."""
+        self.now, self.acts = now_ms, []
+        if handler := HANDLERS.get(type(event)):  # peers' messages decide nothing here
+            handler(self, event)
+        return self.acts
+
+    # -- the list
+
+    def _news(self, news: ListNews) -> None:
+        if news.kind == ListKind.FAILED:
+            self.watch_fails += 1
+            top = min(500.0 * 2 ** self.watch_fails, self.s.must_ask_in_ms / 2)
+            self.acts.append(SetTimer(WATCH, top * (0.5 + self.rnd() / 2)))
+            return
+        self.watch_fails = 0
+        if news.kind != ListKind.CHANGES:
+            named = {e.endpoint for e in news.entries}
+            for server in [s for s in self.ready if s.eid not in named]:
+                self._retire(server)
+        self.floor = min(0.5, FLOOR_SET / max(1, len(self.ready), len(news.entries)))
+        for entry in news.entries:
+            self._entry(entry)
+        ready = self.ready
+        self.floor = min(0.5, FLOOR_SET / max(1, len(ready)))
+        self.mean_share = sum(s.info.share for s in ready) / len(ready) if ready else 1.0
+        if self.s.warm_keys:
+            self.ring = sorted(((spread(s.eid + (n << 33)), s) for s in ready for n in range(8)),
+                               key=lambda e: e[0])
+        self._refill()
+        if news.kind == ListKind.CACHED and self.s.must_ask:
+            # A restart wave must not become a stampede on the list service.
+            self.acts.append(SetTimer(WATCH, self.rnd() * self.s.must_ask_in_ms * 0.3))
+
+    def _entry(self, entry: Endpoint) -> None:
+        server = self.servers.get(entry.endpoint)
+        if server is None:
+            server = self.servers[entry.endpoint] = Server(entry.endpoint, entry)
+        rebooted = entry.booted_ms > server.info.booted_ms
+        server.info = entry
+        if entry.state != State.READY:
+            # Nothing new may reach a server that drains or is gone, so it leaves every draw at once.
+            self._retire(server)
+            return
+        if entry.booted_ms > 0 and (rebooted or not server.ready):
+            self._chill(server, max(entry.booted_ms, server.cold_from))
+            server.strikes, server.out_until = 0, 0.0
+        if not server.ready:
+            server.ready = True
+            self.ready.append(server)
+            self._place(server, self.floor)
+
+    def _chill(self, server: Server, start: float) -> None:
+        server.cold_from, server.warm_at = start, start + self.s.warm_within_ms
+        # A random first credit makes many quiet clients add up to the right share.
+        server.credit, server.credit_at = self.rnd() - 1.0, self.now
+
+    def _retire(self, server: Server) -> None:
+        if server.ready:
+            server.ready = False
+            self.ready.remove(server)
+            self._unplace(server)
+
+    # -- the coins
+
+    def _unplace(self, server: Server) -> None:
+        group = self.levels[server.level]
+        last = group.pop()
+        if last is not server:
+            group[server.pos] = last
+            last.pos = server.pos
+        self.total -= server.c
+
+    def _place(self, server: Server, c: float) -> None:
+        server.c = c = min(0.98, max(self.floor, c))
+        server.level = min(LEVELS - 1, -frexp(c)[1])
+        group = self.levels[server.level]
+        server.pos = len(group)
+        group.append(server)
+        self.total += c
+
+    def _learn(self, server: Server, good: bool) -> None:
+        if not server.ready or (good and self.total > SET_MOST):
+            return
+        self._unplace(server)
+        self._place(server, server.c + RAISE * (1 - server.c) if good else server.c * (1 - LOWER))
+        if not good:
+            self._refill()
+
+    def _refill(self) -> None:
+        """A slowdown of the whole fleet must not shrink the sets: what one loses, another gets."""
+        ready, price = self.ready, self.s.prices.cross_zone
+        for _ in range(4 * FAVOURED):
+            if self.total >= min(SET_LEAST, len(ready) / 2):
+                return
+            server = ready[int(self.rnd() * len(ready))]
+            if server.info.zone != self.s.zone and self.rnd() * (1 + 100 * price) > 1:
+                continue
+            self._unplace(server)
+            self._place(server, server.c + 3.0 / FAVOURED)
+
+    def _draw(self) -> list[Server]:
+        """Independent coins: in a level, geometric gaps at its largest c, thinned to each one's own c."""
+        rnd, drawn = self.rnd, []
+        for k, group in enumerate(self.levels):
+            n = len(group)
+            if not n:
+                continue
+            if k == 0:
+                drawn += [s for s in group if rnd() < s.c]
+                continue
+            top, gap = 0.5 ** k, self.gaps[k]
+            i = int(log(1.0 - rnd()) / gap)
+            while i < n:
+                if rnd() * top < group[i].c:
+                    drawn.append(group[i])
+                i += 1 + int(log(1.0 - rnd()) / gap)
+        return drawn
+
+    # -- the choice
+
+    def _score(self, server: Server, cls: int) -> float:
+        """Expected time there: aged report plus own work plus one, over speed."""
+        now, mean = self.now, self.mean_load
+        age = now - server.load_at
+        load = mean + (server.load - mean) / (1.0 + age / (4.0 * self.service[cls]))
+        fade = 1.0 / (1.0 + (now - server.slow_at) / 10000.0)
+        info = server.info
+        base = self.service[cls] * self.fit[info.kind][cls] * (1.0 + (server.slow - 1.0) * fade)
+        if self.s.share_known and info.share > 0:
+            base *= self.mean_share / info.share
+        if info.zone != self.s.zone:
+            base *= 1.0 + 20.0 * self.s.prices.cross_zone
+        if now - server.used_at > self.s.idle_ms:  # a new connection costs the server work and room
+            base *= 1.3 + 8.0 * self.s.prices.handshake
+        return (load + server.out + 1.0) * base
+
+    def _usable(self, server: Server, cls: int) -> bool:
+        now = self.now
+        if server.out_until > now:
+            return False
+        # A hung server takes work and stays silent: overdue and silent means out, before any time-out.
+        if server.out and now - server.quiet_at > 3.0 * self.target[cls] + 2 * self.s.dial_timeout_ms:
+            self._strike(server)
+            return False
+        return now >= server.warm_at or self._has_credit(server)
+
+    def _has_credit(self, server: Server) -> bool:
+        """An empty cold server would win every draw: it gets a ramp of this client's own mean rate."""
+        share, now = self.s.cold_share, self.now
+        ramp = share + (1 - share) * max(0.0, now - server.cold_from) / max(1.0, self.s.warm_within_ms)
+        rate = self.rate / max(1, len(self.ready)) / max(1.0, self.fit[server.info.kind][0])
+        server.credit = min(1.0, server.credit + 0.5 * ramp * rate * (now - server.credit_at))
+        server.credit_at = now
+        return server.credit >= 0.0
+
+    def _pick(self, work: Work) -> Server | None:
+        cls, tried = work.cls, [s for s, _, _ in work.sent]
+        if work.home:
+            return self._pick_home(work, work.home)
+        best, least, homes = None, 1e18, self._homes(work.key)
+        for server in homes + (self._draw() or self._draw()):
+            if server in tried or not self._usable(server, cls):
+                continue
+            score = self._score(server, cls) * (WARM if server in homes else 1.0) * (1.0 + 1e-6 * self.rnd())
+            if score < least:
+                best, least = server, score
+        if best is None and self.ready:
+            for _ in range(6):  # empty draw: a random ready server, passing by the ones known to be bad
+                server = self.ready[int(self.rnd() * len(self.ready))]
+                if self._usable(server, cls) and server not in tried:
+                    return server
+            if not tried and server.warm_at <= self.now:
+                return server
+        return best
+
+    def _homes(self, key: int) -> list[Server]:
+        """The servers where every client's requests with this key meet, so that it is warm there."""
+        if not key or not self.ring:
+            return []
+        at = [bisect(self.ring, spread(key + n), key=lambda e: e[0]) % len(self.ring) for n in (0, 1)]
+        return [self.ring[i][1] for i in at]
+
+    def _pick_home(self, work: Work, home: Server) -> Server | None:
+        """A keyed request that may have run goes only where, and while, its repeat is dropped."""
+        settings = self.s.classes[work.cls]
+        if self.now >= work.home_at + settings.window_ms - self.s.tick_ms:
+            return None
+        zone, cell = settings.scope is not Scope.ALL, settings.scope is Scope.CELL
+        picks = [s for s in self._draw() if self._usable(s, work.cls)
+                 and not (zone and s.info.zone != home.info.zone or cell and s.info.cell != home.info.cell)]
+        if picks:
+            return min(picks, key=lambda s: self._score(s, work.cls))
+        return home if home.ready and home.warm_at <= self.now else None
+
+    # -- requests
+
+    def _request(self, request: Request) -> None:
+        now, settings = self.now, self.s.classes[request.cls]
+        self.rate += (1.0 / 10000.0) - self.rate * min(1.0, (now - self.rate_at) / 10000.0)
+        self.rate_at = now
+        last = now + request.patience_ms - 2 * self.s.tick_ms
+        if settings.late_worth <= 0:  # past the aim nothing is left to win, and failing late costs more
+            aim = settings.aim_ms + settings.aim_stretch * request.work_ms
+            last = min(last, now + aim - self.s.tick_ms)
+        work = self.work[request.request] = Work(request.request, request.cls, request.key, now, last)
+        for cls in range(len(self.mix)):
+            self.mix[cls] += ((cls == request.cls) - self.mix[cls]) * 0.02
+        self._try(work)
+
+    def _try(self, work: Work) -> None:
+        """Send the next attempt, hold the request, or end it."""
+        left = work.give_up - self.now
+        tries, needed = len(work.sent), self.service[work.cls] / 2
+        if left <= 0 or tries >= self.s.max_attempts or (tries and left < needed):
+            return self._end(work)
+        if tries > work.held:
+            work.held = tries
+            wait = self._pause(work)
+            if wait > 0:
+                return self._hold(work, wait)
+        if not self._admit(work.cls):
+            return self._end(work)
+        server = self._pick(work)
+        if server is None:
+            return self._end(work) if work.home else self._hold(work, self.service[work.cls])
+        self._send(work, server)
+
+    def _admit(self, cls: int) -> bool:
+        """In overload late answers crowd out the rest: send half more than came in time, best worth first."""
+        self.asked, self.good = self.asked * 0.97 + 1.0, self.good * 0.97
+        room = 1.5 * (self.good + 1.0) / self.asked  # never shut: one with no answers left would stay so
+        if room >= 1.0:
+            return True
+        value = [c.worth / max(1.0, t) for c, t in zip(self.s.classes, self.service, strict=True)]
+        above = sum(m for m, v in zip(self.mix, value, strict=True) if v > value[cls])
+        return above + self.rnd() * self.mix[cls] < room
+
+    def _pause(self, work: Work) -> float:
+        """Where most servers turn work away, trying at once only adds load: wait here instead."""
+        tries = len(work.sent)
+        if self.full < 0.3 and tries < 3:
+            return 0.0
+        worth = max(0.25, self.s.classes[work.cls].worth / self.most_worth)
+        return float(self.full * self.service[work.cls] * 2.0 ** (tries - 1) / worth ** 0.5)
+
+    def _hold(self, work: Work, wait: float) -> None:
+        wait = min(work.give_up - self.now, (0.5 + self.rnd()) * max(wait, 2 * self.s.tick_ms))
+        self.acts.append(SetTimer(work.rid + HOLD, wait))
+
+    def _send(self, work: Work, server: Server) -> None:
+        now, settings = self.now, self.s.classes[work.cls]
+        expires = work.give_up
+        if settings.effect is not Effect.UNSAFE and len(work.sent) + 1 < self.s.max_attempts:
+            patience = max(0.45 * (work.give_up - now), 3.0 * self.target[work.cls])
+            expires = min(expires, now + patience)
+        load = self._score(server, work.cls) / (self.service[work.cls] * self.fit[server.info.kind][work.cls])
+        if not server.out:
+            server.quiet_at = now
+        server.out += 1
+        if server.strikes:  # one at a time until it answers
+            server.out_until = max(server.out_until, expires)
+        if now < server.warm_at:
+            server.credit -= 1.0
+        work.sent.append((server, now, max(0.2, load)))
+        work.out += 1
+        self.acts.append(Send(work.rid, server.eid, expires))
+        if self.s.reports_pulled and self.s.may_probe and self.rnd() < 0.2 and (drawn := self._draw()):
+            self.acts.append(Probe(min(drawn, key=lambda s: s.load_at).eid))
+
+    def _end(self, work: Work) -> None:
+        """The final answer: a refusal only where a repeat does no harm, a failure otherwise."""
+        settings = self.s.classes[work.cls]
+        harmless = not (work.maybe_ran or work.out) or settings.effect is Effect.SAFE or (
+            settings.effect is Effect.KEYED and settings.scope is Scope.ALL)
+        self.acts.append(Refuse(work.rid) if harmless else Fail(work.rid))
+        self._forget(work)
+
+    def _forget(self, work: Work) -> None:
+        work.ended = True
+        if not work.out:
+            self.work.pop(work.rid, None)
+
+    def _timer(self, event: TimerFired) -> None:
+        if event.token == WATCH:
+            self.acts.append(Watch(True))
+            return
+        work = self.work.get(event.token - HOLD)
+        if work and not work.out:
+            self._try(work)
+
+    def _departed(self, event: Departed) -> None:
+        work = self.work.get(event.request)
+        if work:
+            self._forget(work)
+
+    def _began(self, event: StreamBegan) -> None:
+        work = self.work.get(event.request)
+        if work and event.attempt < len(work.sent):
+            self._answered(work.sent[event.attempt][0])
+
+    # -- outcomes
+
+    def _ended(self, event: AttemptEnded) -> None:
+        work, server = self.work.get(event.request), self.servers.get(event.endpoint)
+        if work is None or server is None or event.attempt >= len(work.sent):
+            return
+        _, sent_at, load = work.sent[event.attempt]
+        server.out = max(0, server.out - 1)
+        work.out -= 1
+        server.used_at = self.now
+        if not server.out and self.rate * self.s.idle_ms * server.c < 1.0:
+            # Tables of connections fill up with strays that nobody uses again: give them back.
+            server.used_at = -1e12
+            self.acts.append(CloseIdle(server.eid))
+        self._feedback(server, work, event, load)
+        if event.closed or work.ended:
+            self._forget(work)
+            return
+        if event.outcome not in NEVER_RAN:
+            work.maybe_ran = True
+            effect = self.s.classes[work.cls].effect
+            if effect is Effect.UNSAFE:
+                self._end(work)
+                return
+            if effect is Effect.KEYED and work.home is None:
+                work.home, work.home_at = server, sent_at
+        if not work.out:
+            self._try(work)
+
+    def _feedback(self, server: Server, work: Work, event: AttemptEnded, load: float) -> None:
+        cls, outcome, elapsed = work.cls, event.outcome, event.elapsed_ms
+        if outcome is Outcome.OK and self.now - work.began <= self.s.classes[cls].aim_ms:
+            self.good += 1.0
+        self.full += ((outcome is Outcome.FULL) - self.full) * 0.05
+        if event.report:
+            self._report(server, event.report)
+        if outcome in (Outcome.OK, Outcome.FULL):
+            self._answered(server)
+        if outcome is Outcome.OK:
+            self._learn(server, elapsed <= self.target[cls])
+            self._measure(server, cls, elapsed, load)
+        elif outcome is Outcome.FULL:
+            self.asked -= 0.4  # a refusal costs a server far less than a late answer
+            server.load, server.load_at = max(server.load, self.mean_load + 2.0), self.now
+            if self.rnd() >= self.full:  # where all are full, being full says little about this one
+                self._learn(server, False)
+        elif outcome is Outcome.ERROR:  # quick errors look light and would draw more
+            server.slow, server.slow_at = min(20.0, server.slow + 1.0), self.now
+            self._learn(server, False)
+        elif outcome in (Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET):
+            server.dead = outcome is Outcome.CONNECT_FAILED
+            self.asked -= server.dead  # a dead server is no sign of overload
+            self._strike(server)
+
+    def _measure(self, server: Server, cls: int, elapsed: float, load: float) -> None:
+        kind = server.info.kind
+        sample = elapsed / load
+        self.count[cls] += 1
+        pace = max(0.03, 1.0 / self.count[cls])
+        self.target[cls] += (elapsed - self.target[cls]) * pace
+        self.service[cls] = max(1.0, self.service[cls] + (sample - self.service[cls]) * pace)
+        fit = self.fit[kind]
+        ratio = min(10.0, sample / self.service[cls])
+        fit[cls] += (ratio - fit[cls]) * 0.03
+        server.slow = max(0.2, server.slow + (min(10.0, ratio / fit[cls]) - server.slow) * 0.15)
+        server.slow_at = self.now
+
+    def _report(self, server: Server, report: tuple[float, ...]) -> None:
+        if 0 <= self.field < len(report):
+            server.load, server.load_at = report[self.field], self.now
+            self.mean_load += (server.load - self.mean_load) * 0.05
+
+    def _answered(self, server: Server) -> None:
+        server.quiet_at = self.now
+        if server.dead and server.strikes > 2 and self.now >= server.warm_at:
+            self._chill(server, self.now)  # back from the dead, maybe cold, before the list says so
+        server.strikes, server.out_until = 0, 0.0
+
+    def _strike(self, server: Server) -> None:
+        """No answer: out of the draws for a while that doubles, then one trial at a time."""
+        server.strikes += 1
+        server.out_until = self.now + 500.0 * 2 ** min(4, server.strikes) * (0.5 + self.rnd())
+        server.quiet_at = self.now
+        self._learn(server, False)
+
+    def _probed(self, event: Probed) -> None:
+        server = self.servers.get(event.endpoint)
+        if server is not None and event.outcome is Outcome.OK and event.report:
+            self._report(server, event.report)
+
+
+HANDLERS: dict[type, Callable[..., None]] = {
+    ListNews: Balancer._news, Request: Balancer._request, AttemptEnded: Balancer._ended,
+    TimerFired: Balancer._timer, Departed: Balancer._departed, StreamBegan: Balancer._began,
+    Probed: Balancer._probed}
--- /dev/null
+++ b/tests/test_brain.py
@@ -0,0 +1,260 @@
+"""The mechanism, one decision at a time."""
+
+import os
+import re
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from spokespoke import brain
+from spokespoke.brain import Balancer
+from spokespoke.interface import (AttemptEnded, Departed, Effect, Fail, ListKind, ListNews, Outcome, Refuse,
+                                  Request, Scope, Send, SetTimer, State, TimerFired, Watch)
+
+from .helpers import ended, entry, fleet, settings, started
+
+ROOT = Path(__file__).parent.parent
+
+
+def test_draw_is_independent_coins() -> None:
+    balancer = started(60)
+    rounds = 20000
+    seen = dict.fromkeys(balancer.servers, 0)
+    pairs = 0
+    likely = sorted(balancer.ready, key=lambda s: -s.c)[:2]
+    for _ in range(rounds):
+        drawn = balancer._draw()
+        assert len(set(map(id, drawn))) == len(drawn)
+        pairs += all(s in drawn for s in likely)
+        for server in drawn:
+            seen[server.eid] += 1
+    for server in balancer.ready:
+        sigma = (rounds * server.c * (1 - server.c)) ** 0.5
+        assert abs(seen[server.eid] - rounds * server.c) < 4.5 * sigma
+    both = likely[0].c * likely[1].c
+    assert abs(pairs / rounds - both) < 0.02
+
+
+@pytest.mark.parametrize("n", [3, 40, 2000])
+def test_expected_set_is_a_handful_at_any_size(n: int) -> None:
+    balancer = started(n)
+    total = sum(s.c for s in balancer.ready)
+    assert total == pytest.approx(balancer.total)
+    assert min(brain.SET_LEAST, n / 2) <= total <= brain.SET_MOST
+
+
+def test_update_moves_by_a_and_b() -> None:
+    balancer = started(40)
+    server = max(balancer.ready, key=lambda s: s.c)
+    before = server.c
+    balancer._learn(server, True)
+    assert server.c == pytest.approx(before + brain.RAISE * (1 - before))
+    before = server.c
+    balancer._learn(server, False)
+    assert server.c >= before * (1 - brain.LOWER) - 1e-12
+    assert server.c < before
+
+
+def test_slow_answers_lower_and_quick_ones_raise() -> None:
+    balancer = started(40)
+    for rid, elapsed in enumerate((100.0, 100.0, 100.0, 400.0, 20.0)):
+        send = balancer.handle(rid * 1000.0, Request(rid, 0, 3000))[0]
+        assert isinstance(send, Send)
+        server = balancer.servers[send.endpoint]
+        before = server.c
+        balancer.handle(rid * 1000.0 + elapsed, ended(rid, 0, send.endpoint, Outcome.OK, elapsed))
+        if elapsed == 400.0:
+            assert server.c < before
+        if elapsed == 20.0:
+            assert server.c > before
+
+
+def test_a_slow_fleet_does_not_shrink_the_sets() -> None:
+    balancer = started(100)
+    for _ in range(50):
+        for server in list(balancer.ready):
+            balancer._learn(server, False)
+    assert balancer.total >= brain.SET_LEAST
+
+
+def test_least_load_over_speed_wins() -> None:
+    balancer = started(2, settings(report_fields=("waiting",)))
+    idle, busy = balancer.ready
+    for server in balancer.ready:
+        server.load_at = 0.0
+    busy.load = 4.0
+    assert balancer._score(idle, 0) < balancer._score(busy, 0)
+    idle.slow = 9.0
+    assert balancer._score(idle, 0) > balancer._score(busy, 0)
+
+
+PROVED = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
+MAYBE = (Outcome.ERROR, Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)
+
+
+@pytest.mark.parametrize("effect,scope,outcome,again,last", [
+    *[(e, s, o, True, Refuse) for e in Effect for s in Scope for o in PROVED],
+    *[(Effect.SAFE, Scope.ALL, o, True, Refuse) for o in MAYBE],
+    *[(Effect.UNSAFE, Scope.ALL, o, False, Fail) for o in MAYBE],
+    *[(Effect.KEYED, Scope.ALL, o, True, Refuse) for o in MAYBE],
+    *[(Effect.KEYED, s, o, True, Fail) for s in (Scope.ZONE, Scope.CELL) for o in MAYBE],
+])
+def test_effect_and_outcome_decide(effect: Effect, scope: Scope, outcome: Outcome, again: bool,
+                                   last: type) -> None:
+    balancer = started(10, settings(effect, scope, max_attempts=2))
+    (send,) = balancer.handle(1.0, Request(5, 0, 3000))
+    assert isinstance(send, Send)
+    then = balancer.handle(2.0, ended(5, 0, send.endpoint, outcome))
+    if not again:
+        assert then == [last(5)]
+        return
+    assert isinstance(then[0], Send)
+    end = balancer.handle(3.0, ended(5, 1, then[0].endpoint, outcome))
+    assert end == [last(5)]
+
+
+def test_drains_are_kept_at_once() -> None:
+    balancer = started(4)
+    news = tuple(entry(i, State.DRAINING if i < 3 else State.GONE) for i in (1, 2, 3))
+    balancer.handle(1.0, ListNews(ListKind.CHANGES, 2, news))
+    for rid in range(50):
+        (send,) = balancer.handle(2.0 + rid, Request(rid, 0, 3000))
+        assert isinstance(send, Send)
+        assert send.endpoint == 4
+        balancer.handle(2.5 + rid, ended(rid, 0, 4, Outcome.OK))
+
+
+def test_no_server_ready_holds_then_answers_in_time() -> None:
+    balancer = Balancer(settings(), 3)
+    balancer.handle(0.0, ListNews(ListKind.CACHED, 1, (entry(1, State.DRAINING),)))
+    now, acts = 0.0, balancer.handle(0.0, Request(9, 0, 3000))
+    while acts and isinstance(acts[0], SetTimer):
+        now += acts[0].delay_ms
+        acts = balancer.handle(now, TimerFired(acts[0].token))
+    assert acts == [Refuse(9)]
+    assert 500 < now <= 3000
+
+
+def test_unknown_and_late_news_changes_nothing() -> None:
+    balancer = started(3)
+    assert balancer.handle(1.0, TimerFired(12345)) == []
+    assert balancer.handle(1.0, Departed(77)) == []
+    assert balancer.handle(1.0, AttemptEnded(77, 0, 1, 5.0, Outcome.TIMEOUT, True)) == []
+
+
+def test_a_failed_watch_is_asked_for_again_with_growing_waits() -> None:
+    balancer = Balancer(settings(must_ask=True, must_ask_in_ms=10000.0), 3)
+    (timer,) = balancer.handle(0.0, fleet(5))
+    assert isinstance(timer, SetTimer)
+    assert timer.delay_ms < 5000
+    assert balancer.handle(timer.delay_ms, TimerFired(timer.token)) == [Watch(True)]
+    waits = []
+    for _ in range(6):
+        (again,) = balancer.handle(9000.0, ListNews(ListKind.FAILED, 0, ()))
+        assert isinstance(again, SetTimer)
+        waits.append(again.delay_ms)
+    assert min(waits[3:]) > 2 * waits[0]
+    assert max(waits) <= 5000
+
+
+def test_a_silent_server_leaves_the_draws_before_its_time_out() -> None:
+    balancer = started(10)
+    (send,) = balancer.handle(0.0, Request(1, 0, 3000))
+    assert isinstance(send, Send)
+    hung = balancer.servers[send.endpoint]
+    hung.c = 0.98
+    limit = 3 * balancer.target[0] + 2 * balancer.s.dial_timeout_ms
+    assert balancer._usable(hung, 0)
+    balancer.now = limit + 1
+    assert not balancer._usable(hung, 0)
+
+
+def test_quiet_clients_budgets_for_a_cold_server_add_up() -> None:
+    """Sixty clients that each know a little keep their sum under the cold server's capacity."""
+    clients, n, sent, window = 60, 30, 0, 2000.0
+    warm_rate = 1.0  # requests each client sends a second
+    for seed in range(clients):
+        balancer = started(n, seed=seed)
+        rng, now, rid, booted = balancer.rng, 0.0, 0, 20000.0
+        told = False
+        while now < booted + window:
+            if now >= booted and not told:
+                balancer.handle(now, ListNews(ListKind.CHANGES, 2, (entry(1, booted=booted),)))
+                told = True
+            for act in balancer.handle(now, Request(rid, 0, 3000)):
+                if isinstance(act, Send):
+                    sent += act.endpoint == 1 and told
+                    balancer.handle(now + 1, ended(rid, 0, act.endpoint, Outcome.OK))
+            rid, now = rid + 1, now + rng.expovariate(warm_rate / 1000)
+    fair = clients * warm_rate / n * window / 1000
+    assert sent <= fair
+
+
+def test_a_client_whose_answers_all_failed_sends_again() -> None:
+    """A room of nothing would never hear that the trouble is over."""
+    balancer = started(10)
+    for rid in range(400):
+        for act in balancer.handle(rid * 10.0, Request(rid, 0, 3000)):
+            if isinstance(act, Send):
+                balancer.handle(rid * 10.0, ended(rid, 0, act.endpoint, Outcome.TIMEOUT))
+    sent = 0
+    for rid in range(1000, 1400):
+        for act in balancer.handle(100000.0 + rid * 10.0, Request(rid, 0, 3000)):
+            if isinstance(act, Send):
+                sent += 1
+                balancer.handle(100000.0 + rid * 10.0 + 1, ended(rid, 0, act.endpoint, Outcome.OK, 1.0))
+    assert sent > 100
+
+
+def test_only_a_server_back_from_the_dead_is_taken_for_cold() -> None:
+    """A fleet back from a hang is warm: a budget for all of it would shut the client off."""
+    for outcome, cold in ((Outcome.TIMEOUT, False), (Outcome.CONNECT_FAILED, True)):
+        balancer = started(1)
+        for rid in range(4):
+            balancer.now = rid * 20000.0
+            (send,) = balancer.handle(rid * 20000.0, Request(rid, 0, 3000))
+            balancer.handle(rid * 20000.0 + 5, ended(rid, 0, 1, outcome if rid < 3 else Outcome.OK))
+        assert (balancer.servers[1].warm_at > balancer.now) is cold
+
+
+def test_a_key_meets_the_same_servers_at_every_client() -> None:
+    """Warm keys pay only where all clients agree on the servers, and keys must spread evenly."""
+    conf = settings(warm_keys=True)
+    one, two = started(40, conf, seed=1), started(40, conf, seed=2)
+    load = dict.fromkeys(one.servers, 0)
+    for key in range(1, 2001):
+        homes = [s.eid for s in one._homes(key)]
+        assert homes == [s.eid for s in two._homes(key)]
+        load[homes[0]] += 1
+    assert max(load.values()) < 2.5 * 50
+    assert one._homes(0) == []
+
+
+def _story(seed: int) -> list[object]:
+    balancer = started(50, seed=seed)
+    acts: list[object] = []
+    for rid in range(200):
+        for act in balancer.handle(rid * 10.0, Request(rid, 0, 3000)):
+            acts.append(act)
+            if isinstance(act, Send):
+                acts += balancer.handle(rid * 10.0 + 5, ended(rid, 0, act.endpoint, Outcome(rid % 7)))
+    return acts
+
+
+def test_same_events_same_actions_whatever_the_hash_order() -> None:
+    code = "from tests.test_brain import _story; print(_story(4))"
+    outs = [subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, check=True,
+                           env={**os.environ, "PYTHONHASHSEED": seed}).stdout for seed in ("1", "2")]
+    assert outs[0] == outs[1] != b""
+    assert _story(4) != _story(5)
+
+
+def test_the_module_stays_small_and_names_no_deployment() -> None:
+    lines = (ROOT / "spokespoke" / "brain.py").read_text().splitlines()
+    assert sum(bool(line.strip()) for line in lines) <= 400
+    assert max(map(len, lines)) <= 110
+    assert "interface.py" in lines[0]
+    names = r"consignment|rastro|album|hanoi|pallet|hengda|sen h|-box|c2-|std-|palermo|taoyuan"
+    assert not re.search(names, "\n".join(lines), re.I)
