Reloads are followed; what clients and endpoints send is bounded and believed less

Causes, with what was seen: - SIGHUP had no handler, so a reload ended the process (exit 129). It now reads the file again, keeps the old configuration if that can't be read, and follows a new discovery from a whole list, with short waits of its own.

--- a/plumrack/discovery.py
+++ b/plumrack/discovery.py
@@ -18,6 +18,9 @@
 STATES = {"Ready": State.READY, "Terminating": State.DRAINING, "Gone": State.GONE}
 FIRST_S = 6.0        # how long a call may take until its first bytes
 SILENT_S = 4.5       # a watch says something every 2 s: two missed heartbeats and it is broken
+MOVE_S = 6.0         # how long a new address is tried anew at once before the module's own waits hold again
+MOVE_STEP_S = 0.2    # from one such try to the next
+MOVE_FIRST_S = 1.5   # how long such a try may take until its first bytes
 MOST_LINE = 8 << 20  # bytes of one line, far more than any list
 MOST_CELL = 65535
 
@@ -102,6 +105,8 @@
         self._watch: _Watch | None = None
         self.seq = 0
         self.lost_track = False  # the next watch must begin with the whole list, whatever its version
+        self._move_by = 0.0      # until then a new address is tried at once
+        self._again: asyncio.TimerHandle | None = None
 
     def cached(self, known: dict[str, Any]) -> None:
         """The list as this sidecar last had it."""
@@ -114,11 +119,30 @@
 
     def watch(self) -> None:
         if self._watch is None:
+            moving = self._loop.time() < self._move_by
             self._watch = _Watch(self)
-            self._watch.open(self._loop, self._where)
+            self._watch.open(self._loop, self._where, MOVE_FIRST_S if moving else FIRST_S)
+
+    def move(self, where: tuple[str, int]) -> None:
+        """Follow the list at another address from now on; the list in hand is kept until that one speaks.
+
+        Versions of another service can't be compared, so it begins with the whole list.  What it has to tell
+        counts as told soon, so failed tries are not left to the module's growing waits; those hold again
+        after MOVE_S: an address that is wrong or down for long must not be hammered.  This guards as well
+        against a new service that comes up a little after the reload, or breaks before its first list.
+        """
+        if where == self._where and self._watch:
+            return
+        self._where, self.lost_track = where, True
+        self._move_by = self._loop.time() + MOVE_S
+        self.stop()
+        self.watch()
 
     def stop(self) -> None:
         """End the watch; nobody is told, as nobody wants it any more."""
+        if self._again:
+            self._again.cancel()
+            self._again = None
         watch, self._watch = self._watch, None
         if watch:
             watch.close()
@@ -129,7 +153,10 @@
             return
         say("watch ended", why)
         self.stop()
-        self._news(ListNews(ListKind.FAILED, 0, ()))
+        if self.lost_track and self._loop.time() < self._move_by:
+            self._again = self._loop.call_later(MOVE_STEP_S, self.watch)
+        else:
+            self._news(ListNews(ListKind.FAILED, 0, ()))
 
     def sweep(self) -> None:
         watch = self._watch
@@ -177,9 +204,9 @@
         self._status, self._over = 0, False
         self.silent_at = 0.0
 
-    def open(self, loop: asyncio.AbstractEventLoop, where: tuple[str, int]) -> None:
+    def open(self, loop: asyncio.AbstractEventLoop, where: tuple[str, int], first_s: float) -> None:
         self._loop, self._host = loop, f"{where[0]}:{where[1]}"
-        self.silent_at = loop.time() + FIRST_S
+        self.silent_at = loop.time() + first_s
         self._task = loop.create_task(self._dial(where))
 
     async def _dial(self, where: tuple[str, int]) -> None:
--- a/plumrack/sidecar.py
+++ b/plumrack/sidecar.py
@@ -45,6 +45,10 @@
         self.discovery.sweep()
         self._loop.call_later(SWEEP_S, self._sweep)
 
+    def follow(self, config: Config) -> None:
+        """Take up a new configuration: the address of discovery.  All else holds from the start on."""
+        self.discovery.move(config.discovery)
+
     def drain(self) -> None:
         """Begin the planned end; `ended` is set when nothing is in hand, in time before the kill."""
         if not self._drain_by:
--- a/plumrack/upstream.py
+++ b/plumrack/upstream.py
@@ -19,11 +19,11 @@
 from .limits import Bytes, Descriptors
 from .log import say
 
-WHOLE = 65536           # answers up to this size are held whole, longer ones pass through
-PIECE = 65536           # a long body is written in pieces of this size
+MOST_BODY = 65536       # an answer's body
 MOST_HEAD = 65536       # an answer's header block
 IDLE_PART = 0.8         # of the time after which an endpoint closes an idle connection
-STALL_MS = 5000.0       # a long answer that stands still for so long has broken
+ANSWER_S = 0.15         # an answer is whole so long after its first bytes
+SETTLE_MS = 4.0         # how long a connection rests after an answer, before it carries another request
 PROBE_MS = 500.0        # how long a probe may take once its connection is up
 
 
@@ -57,14 +57,14 @@
     def __init__(self, upstream: Upstream, host: Host) -> None:
         self._up, self.host = upstream, host
         self.born_ms = host.born_ms
+        self.where = host.ip, host.port
+        self._stall: asyncio.TimerHandle | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
         self.dial: asyncio.Task[None] | None = None
         self.attempt: Attempt | None = None
         self.idle_since = self.heard_ms = 0.0
-        self._body: bytes | bytearray = b""
-        self._offset = 0          # how much of a long body was handed to the transport
-        self._unwritten = False   # some of the request was not handed over yet
+        self._unwritten = False   # the request was not handed over yet
         self._blocked = False     # some of what was handed over is not written yet
         self._stray = False       # it sent what nobody asked for
         self._fresh()
@@ -72,11 +72,11 @@
     def _fresh(self) -> None:
         self._status = self._length = 0
         self._head_size = 0
+        self._begun = self._headed = False   # an answer's first bytes have come, and its whole head
         self._headers = self._report = b""
-        self._framed = self._not_run = self._keep = self._complete = self._bad = False
+        self._framed = self._not_run = self._keep = self._closes = self._complete = self._bad = False
         self._held: list[bytes] = []
         self._size = 0
-        self._first_ms = 0.0      # elapsed when the answer's first bytes came
 
     # -- the request
 
@@ -95,31 +95,14 @@
         # The deadline goes on as the time that is left of this attempt.
         left = max(0.0, attempt.expires_ms - self._up.clock.now()) / 1000
         head = b"%bX-Deadline: %.3f\r\n\r\n" % (call.head, left)
-        self._body, self._offset = body, 0
-        if len(body) <= PIECE:
-            self._offset = len(body)
-            transport.write(head + body if body else head)
-            self._unwritten = transport.is_closing()
-        else:
-            transport.write(head)
-            self._pump(transport)
-
-    def _pump(self, transport: asyncio.Transport) -> None:
-        """Hand over the next pieces of a long body as the endpoint takes them, so that no copy piles up."""
-        body, view = self._body, memoryview(self._body)
-        while self._offset < len(body) and not self._blocked and not transport.is_closing():
-            transport.write(bytes(view[self._offset:self._offset + PIECE]))
-            self._offset += PIECE
-        if self._offset >= len(body):
-            self._unwritten = transport.is_closing()
+        transport.write(head + body)
+        self._unwritten = transport.is_closing()
 
     def pause_writing(self) -> None:
         self._blocked = True
 
     def resume_writing(self) -> None:
         self._blocked = False
-        if self._unwritten and self._transport:
-            self._pump(self._transport)
 
     @property
     def written(self) -> bool:
@@ -150,8 +133,10 @@
         del self._parser  # it holds this object too
 
     def eof_received(self) -> None:
-        # httptools is never told of the end: a body that the end delimits is whole here.
-        if self.attempt and self._status >= 200 and not self._framed and not self._complete and not self._bad:
+        # httptools is never told of the end: a body that the end delimits is whole here.  Only an endpoint
+        # that said so may delimit by the end: elsewhere it looks the same as an answer that broke off.
+        if self.attempt and self._headed and self._closes and not self._framed and not self._complete \
+                and not self._bad:
             self._keep = False
             self._done()
 
@@ -180,16 +165,25 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._bad = self._bad or not self._complete
             self._keep = False
-        if not self._status:
+        if not self._headed:
             self._head_size += len(data)
         if self._complete and not self._bad:
             self._done()
         elif self._bad or self._head_size > MOST_HEAD:
-            self._break()
+            self._spoilt()
+        elif not self._begun and self._stall:
+            self._stall.cancel()  # only an interim answer so far
+            self._stall = None
+        elif self._begun and self._stall is None:
+            # Heads without end, bodies shorter than their length, an endpoint that hangs in mid-answer: no
+            # such answer becomes whole by waiting, and the request may still have time for another attempt.
+            # It could harm an endpoint that writes its answers in parts that lie far apart.
+            self._stall = self._up.loop.call_later(ANSWER_S, self._spoilt)
 
     def on_message_begin(self) -> None:
         if self._complete:
             self._stray = True
+        self._begun = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self._complete:
@@ -200,11 +194,13 @@
             self._framed, self._length = True, int(value)
         elif name == b"x-load":
             self._report = value
+        elif name == b"connection":
+            self._closes = value.strip().lower() == b"close"
         elif name == b"x-not-run":
             self._not_run = value == b"1"
         elif name == b"transfer-encoding":
             self._framed = True
-            self._bad = self._bad or value.lower() != b"chunked"
+            self._bad = self._bad or value.strip().lower() != b"chunked"
         elif name.startswith(b"content-"):
             self._headers += b"%b: %b\r\n" % (name, value)
 
@@ -214,38 +210,21 @@
         self._status = self._parser.get_status_code()
         if self._status < 200:
             return
+        self._headed = True
+        if self._length > MOST_BODY:
+            self._bad = True
         if self._status == 200 and not self.written:
             # An endpoint begins when the last byte has come: this answers something else.
             self._bad = True
-        if self.attempt:
-            self._first_ms = self.heard_ms - self.attempt.sent_ms
 
     def on_body(self, data: bytes) -> None:
-        attempt = self.attempt
-        if self._complete or self._bad or attempt is None or self._status != 200:
+        if self._complete or self._bad or self.attempt is None or self._status != 200:
             return  # only a 200's body is anybody's
-        call = attempt.call
-        if call.stream is attempt:
-            if not call.client.more(call, data):
-                self.pause()
-        elif not call.over and call.stream is None:
-            if self._size + len(data) <= WHOLE >= self._length and self._up.memory.take(len(data)):
-                self._size += len(data)
-                self._held.append(data)
-            elif attempt.number >= 0:
-                self._commit(attempt, data)
-
-    def _commit(self, attempt: Attempt, data: bytes) -> None:
-        """Longer than is held whole: what has come goes to the client, and the rest as it comes."""
-        if attempt.timer:
-            attempt.timer.cancel()
-        call = attempt.call
-        self._up.streams.add(self)
-        self._up.engine.commit(attempt, self._first_ms, self._headers, self._length)
-        held = b"".join(self._held) + data
-        self._let_go()
-        if not call.client.more(call, held):
-            self.pause()
+        if self._size + len(data) > MOST_BODY or not self._up.memory.take(len(data)):
+            self._bad = True
+            return
+        self._size += len(data)
+        self._held.append(data)
 
     def on_message_complete(self) -> None:
         if self._complete:
@@ -268,24 +247,12 @@
         self._up.memory.give(self._size)
         self._held, self._size = [], 0
 
-    def pause(self) -> None:
-        if self._transport:
-            self._transport.pause_reading()
-
-    def resume(self) -> None:
-        self.heard_ms = self._up.clock.now()
-        if self._transport:
-            self._transport.resume_reading()
-
-    def stalled(self, now: float) -> bool:
-        """The endpoint of a long answer has fallen silent, and not because we have stopped reading."""
-        return bool(self._transport and self._transport.is_reading() and now - self.heard_ms > STALL_MS)
-
     def _done(self) -> None:
         """A whole answer: report it, after the connection is back where the next attempt can find it."""
         attempt, status = self._detach(), self._status
         body, headers = b"".join(self._held) if self._held else b"", self._headers
         self._let_go()
+        # What comes behind an answer, a second copy or noise, must never meet the next request.
         if self._keep and self.written and not self._stray:
             self._up.release(self)
         else:
@@ -296,28 +263,30 @@
             outcome = Outcome.FULL
         else:
             outcome = Outcome.ERROR
-        self._up.report(attempt, outcome, self._report, self._first_ms, headers, body)
+        self._up.report(attempt, outcome, self._report, headers, body)
 
     def _break(self) -> None:
-        """The connection broke, or spoke what is no answer: whether the last byte was out decides."""
-        outcome = Outcome.RESET if self.written else Outcome.CONNECT_FAILED
-        self.stop(outcome)
+        """The connection broke: whether the last byte was out decides."""
+        self.stop(Outcome.RESET if self.written else Outcome.CONNECT_FAILED)
+
+    def _spoilt(self) -> None:
+        """What came is no answer.  The request may have run, but the endpoint is there and speaks."""
+        self.stop(Outcome.ERROR if self.written else Outcome.CONNECT_FAILED)
 
     def stop(self, outcome: Outcome) -> None:
         """End the attempt and with it the connection, which is how an attempt is given up."""
-        attempt, elapsed = self._detach(), 0.0
+        attempt = self._detach()
         self._let_go()
         self.close()
-        if attempt.call.stream is attempt:
-            elapsed = self._first_ms
-        self._up.report(attempt, outcome, b"", elapsed)
+        self._up.report(attempt, outcome, b"")
 
     def _detach(self) -> Attempt:
         attempt = self.attempt
         assert attempt
         self.attempt = attempt.conn = None
-        self._body = b""
-        self._up.streams.discard(self)
+        if self._stall:
+            self._stall.cancel()
+            self._stall = None
         if attempt.timer:
             attempt.timer.cancel()
         return attempt
@@ -330,13 +299,12 @@
                  descriptors: Descriptors, read_report: Callable[[bytes], tuple[float, ...]]) -> None:
         self.clock, self.engine, self.memory = clock, engine, memory
         self._fds, self._read_report = descriptors, read_report
-        self._loop = asyncio.get_running_loop()
+        self.loop = asyncio.get_running_loop()
         self._dial_s = settings.dial_timeout_ms / 1000
         self._idle_ms = settings.idle_ms * IDLE_PART
         self._pulled = settings.reports_pulled
         self._hosts: dict[int, Host] = {}
         self._conns: set[Connection] = set()
-        self.streams: set[Connection] = set()
         descriptors.reclaimers.append(self._reclaim)
 
     # -- the list
@@ -374,30 +342,37 @@
         call.attempts[number] = attempt
         conn = self._connection(host) if host and host.ready else None
         if conn is None:
-            self.report(attempt, Outcome.NOT_SENT, b"", 0.0)
+            self.report(attempt, Outcome.NOT_SENT, b"")
             return
-        attempt.timer = self._loop.call_later((expires_ms - now) / 1000, self._expired, attempt)
+        attempt.timer = self.loop.call_later((expires_ms - now) / 1000, self._expired, attempt)
         conn.carry(attempt)
 
     def _connection(self, host: Host) -> Connection | None:
-        """The idle connection that was used last, or a new one; None where there is no descriptor left."""
-        while host.idle:
-            conn = host.idle.pop()
-            if conn.reusable():
-                return conn
-            conn.close()
+        """The idle connection that was used last, or a new one; None where there is no descriptor left.
+
+        One that has only just carried an answer rests a little: should a late copy or noise follow, it must
+        be seen before another request is out there, whose answer it would pass for.  The rest costs a few
+        connections more under bursts; a copy that comes later than that gets through.
+        """
+        rested = self.clock.now() - SETTLE_MS
+        for conn in reversed(tuple(host.idle)):
+            if conn.idle_since <= rested:
+                host.idle.remove(conn)
+                if conn.reusable():
+                    return conn
+                conn.close()
         if not self._fds.take():
             say("no connection", "all descriptors are in use")
             return None
         conn = Connection(self, host)
         self._conns.add(conn)
-        conn.dial = self._loop.create_task(self._dial(conn))
+        conn.dial = self.loop.create_task(self._dial(conn))
         return conn
 
     async def _dial(self, conn: Connection) -> None:
         try:
             async with asyncio.timeout(self._dial_s):
-                await self._loop.create_connection(lambda: conn, conn.host.ip, conn.host.port)
+                await self.loop.create_connection(lambda: conn, conn.host.ip, conn.host.port)
         except (OSError, TimeoutError):
             conn.dial = None
             if conn.attempt:
@@ -418,9 +393,9 @@
         if attempt.conn:
             attempt.conn.stop(outcome)
 
-    def report(self, attempt: Attempt, outcome: Outcome, text: bytes, first_ms: float,
-               headers: bytes = b"", body: bytes = b"") -> None:
-        """Tell the engine.  A long answer's time is that of its first bytes."""
+    def report(self, attempt: Attempt, outcome: Outcome, text: bytes, headers: bytes = b"",
+               body: bytes = b"") -> None:
+        """Tell the engine."""
         values = self._read_report(text) if text else ()
         elapsed = self.clock.now() - attempt.sent_ms
         if attempt.number < 0:
@@ -428,8 +403,7 @@
                 values = self._read_report(body.strip())
             self.engine.probed(attempt.eid, elapsed, outcome, values)
         else:
-            streamed = attempt.call.stream is attempt
-            self.engine.ended(attempt, outcome, values, first_ms if streamed else elapsed, headers, body)
+            self.engine.ended(attempt, outcome, values, elapsed, headers, body)
 
     def probe(self, eid: int) -> None:
         """Ask an endpoint how it is.  The answer counts as the table of outcomes says."""
@@ -442,7 +416,7 @@
         call = Call(NOBODY, b"GET %b HTTP/1.1\r\nHost: origin.svc\r\n" % path, b"", True)
         wait = PROBE_MS + self._dial_s * 1000
         attempt = Attempt(call, -1, host, now, now + wait)
-        attempt.timer = self._loop.call_later(wait / 1000, self._expired, attempt)
+        attempt.timer = self.loop.call_later(wait / 1000, self._expired, attempt)
         conn.carry(attempt)
 
     # -- connections
@@ -450,7 +424,7 @@
     def release(self, conn: Connection) -> None:
         """Keep a connection for the next attempt, if its endpoint is still the one it was opened to."""
         host = conn.host
-        if host.ready and conn.born_ms == host.born_ms:
+        if host.ready and conn.born_ms == host.born_ms and conn.where == (host.ip, host.port):
             conn.idle_since = self.clock.now()
             host.idle.append(conn)
         else:
@@ -485,13 +459,11 @@
         return host is not None
 
     def sweep(self) -> None:
-        """Now and then: drop what has stood idle for long, and long answers that stand still."""
+        """Now and then: drop what has stood idle for long."""
         now = self.clock.now()
         for host in self._hosts.values():
             while host.idle and now - host.idle[0].idle_since > self._idle_ms:
                 self.drop(host.idle[0])
-        for conn in [c for c in self.streams if c.stalled(now)]:
-            conn.stop(Outcome.RESET)
 
     def close(self) -> None:
         for conn in list(self._conns):
@@ -503,12 +475,6 @@
 
     def answer(self, call: Call, status: int, retry_after_ms: float = 0.0) -> None: ...
     def serve(self, call: Call, headers: bytes, body: bytes) -> None: ...
-    def begin(self, call: Call, headers: bytes, length: int) -> bool:
-        return True
-    def more(self, call: Call, data: bytes) -> bool:
-        return True
-    def end(self, call: Call) -> None: ...
-    def broken(self, call: Call) -> None: ...
 
 
 NOBODY = _Nobody()
--- a/spokespoke/brain.py
+++ b/spokespoke/brain.py
@@ -68,8 +68,9 @@
         self.watch_fails = 0
         if news.kind != ListKind.CHANGES:
             named = {e.endpoint for e in news.entries}
-            for server in [s for s in self.ready if s.eid not in named]:
+            for server in [s for s in self.servers.values() if s.eid not in named]:
                 self._retire(server)
+                del self.servers[server.eid]
         self.floor = min(0.5, FLOOR_SET / max(1, len(self.ready), len(news.entries)))
         for entry in news.entries:
             self._entry(entry)
@@ -93,6 +94,9 @@
         if entry.state != State.READY:
             # Nothing new may reach a server that drains or is gone, so it leaves every draw at once.
             self._retire(server)
+            if entry.state == State.GONE:
+                # Ids are ever new, so what is gone is forgotten; attempts still out hold their own record.
+                del self.servers[server.eid]
             return
         if entry.booted_ms > 0 and (rebooted or not server.ready):
             self._chill(server, max(entry.booted_ms, server.cold_from))
@@ -354,10 +358,10 @@
     # -- outcomes
 
     def _ended(self, event: AttemptEnded) -> None:
-        work, server = self.work.get(event.request), self.servers.get(event.endpoint)
-        if work is None or server is None or event.attempt >= len(work.sent):
+        work = self.work.get(event.request)
+        if work is None or event.attempt >= len(work.sent):
             return
-        _, sent_at, load = work.sent[event.attempt]
+        server, sent_at, load = work.sent[event.attempt]
         server.out = max(0, server.out - 1)
         work.out -= 1
         server.used_at = self.now
--- /dev/null
+++ b/tests/net.py
@@ -0,0 +1,139 @@
+"""A sidecar on loopback sockets, with scripted endpoints and discovery beside it."""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from typing import Any
+
+from plumrack import config
+from plumrack.sidecar import Sidecar
+
+Reader, Writer = asyncio.StreamReader, asyncio.StreamWriter
+Handler = Callable[[bytes, Writer], Awaitable[None]]
+LANES = [{"name": "look", "effect": "idempotent", "objective_ms": 1500, "give_up_ms": 2000, "worth": 1},
+         {"name": "pay", "effect": "at_most_once", "objective_ms": 1500, "give_up_ms": 2000, "worth": 1}]
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+async def read_message(reader: Reader) -> tuple[bytes, bytes]:
+    """Head and body of a message with a plain Content-Length."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    lengths = [line for line in head.lower().split(b"\r\n") if line.startswith(b"content-length:")]
+    return head, await reader.readexactly(int(lengths[0].split(b":")[1]) if lengths else 0)
+
+
+class Endpoint:
+    """Answers each request as its script says; keeps the heads that came."""
+
+    def __init__(self, handler: Handler | None = None) -> None:
+        self.seen: list[bytes] = []
+        self.connections = 0
+        self._handler = handler
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader: Reader, writer: Writer) -> None:
+        self.connections += 1
+        try:
+            while True:
+                head, _ = await read_message(reader)
+                self.seen.append(head)
+                if self._handler:
+                    await self._handler(head, writer)
+                else:
+                    writer.write(OK)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+class Discovery:
+    """Tells one list to whoever asks, and keeps watches open."""
+
+    def __init__(self, hosts: list[dict[str, Any]], seq: int = 1) -> None:
+        self.hosts, self.seq = hosts, seq
+        self.asked: list[bytes] = []
+        self.watched = asyncio.Event()
+
+    async def start(self, port: int = 0) -> None:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader: Reader, writer: Writer) -> None:
+        line = json.dumps({"seq": self.seq, "whole": True, "hosts": self.hosts}).encode() + b"\n"
+        try:
+            while True:
+                head, _ = await read_message(reader)
+                self.asked.append(head.split(b"\r\n")[0])
+                if b"watch=1" in head:
+                    writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n"
+                                 % (len(line), line))
+                    self.watched.set()
+                else:
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(line), line))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+def host(name: str, port: int, health: str = "Ready") -> dict[str, Any]:
+    return {"host": name, "dial": f"127.0.0.1:{port}", "site": "a", "class": "m", "block": 0,
+            "health": health, "share": 1.0, "born_ms": 0}
+
+
+def configuration(hosts: list[dict[str, Any]], discovery: int, port: int = 1, **more: Any) -> dict[str, Any]:
+    settings = {"lanes": LANES, "zones": ["a"], "kinds": ["m"], "zone": 0, "discovery": "ask", "tick_ms": 1.0,
+                "bounds": {"max_attempts": 6, "dial_timeout_ms": 250, "conn_idle_ms": 15000,
+                           "max_retry_after_ms": 2000},
+                "rules": {"must_ask_in_ms": 10000, "stop_sending_within_ms": 1000}}
+    return {"name": "n0", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{discovery}", "seed": "7",
+            "limits": {"memory_mb": 64, "sockets": 256}, "known": {"seq": 1, "whole": True, "hosts": hosts},
+            "settings": settings, **more}
+
+
+class Rig:
+    """A running sidecar and the way to it."""
+
+    def __init__(self, sidecar: Sidecar) -> None:
+        self.sidecar = sidecar
+
+    async def connect(self) -> tuple[Reader, Writer]:
+        return await asyncio.open_connection("127.0.0.1", self.sidecar.server.port)
+
+    async def ask(self, data: bytes) -> tuple[bytes, bytes]:
+        """Send these bytes on a new connection, give the first answer."""
+        reader, writer = await self.connect()
+        writer.write(data)
+        answer = await asyncio.wait_for(read_message(reader), 5)
+        writer.close()
+        return answer
+
+
+@asynccontextmanager
+async def rig(*endpoints: Endpoint, discovery: Discovery | None = None, **more: Any) -> AsyncIterator[Rig]:
+    for endpoint in endpoints:
+        await endpoint.start()
+    hosts = [host(f"e{i}", e.port) for i, e in enumerate(endpoints)]
+    where = discovery or Discovery(hosts)
+    await where.start()
+    conf = config.parse(configuration(hosts, where.port, **more), {})
+    sidecar = Sidecar(replace(conf, listen=("127.0.0.1", 0)))
+    try:
+        yield Rig(sidecar)
+    finally:
+        sidecar.close()
+        for server in [where.server, *(e.server for e in endpoints)]:
+            server.close()
+
+
+def look(rid: str = "a1", deadline: str = "1.5", more: bytes = b"") -> bytes:
+    return (f"GET /look HTTP/1.1\r\nHost: o\r\nX-Request-Id: {rid}\r\nX-Class: look\r\n"
+            f"X-Deadline: {deadline}\r\n").encode() + more + b"\r\n"
+
+
+def pay(rid: str = "b1", deadline: str = "1.5", more: bytes = b"Content-Length: 0\r\n",
+        body: bytes = b"") -> bytes:
+    return (f"POST /pay HTTP/1.1\r\nHost: o\r\nX-Request-Id: {rid}\r\nX-Class: pay\r\n"
+            f"X-Deadline: {deadline}\r\n").encode() + more + b"\r\n" + body
--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,316 @@
+"""The sidecar on loopback sockets: what peers may do to it, and what it must not pass on."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from plumrack import server as server_module
+from plumrack import sidecar as sidecar_module
+
+from .net import OK, Discovery, Endpoint, Writer, configuration, host, look, pay, read_message, rig
+
+ROOT = Path(__file__).parent.parent
+
+
+def run(test: Coroutine[Any, Any, None]) -> None:
+    asyncio.run(asyncio.wait_for(test, 30))
+
+
+def status(head: bytes) -> int:
+    return int(head.split(b" ")[1])
+
+
+# -- clients
+
+UNUSABLE = {
+    "both lengths": pay(more=b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n", body=b"0\r\n\r\n"),
+    "two codings": pay(more=b"Transfer-Encoding: gzip, chunked\r\n", body=b"0\r\n\r\n"),
+    "length twice": pay(more=b"Content-Length: 2\r\nContent-Length: 2\r\n", body=b"ab"),
+    "odd length": pay(more=b"Content-Length: +2\r\n", body=b"ab"),
+    "long body": pay(more=b"Content-Length: 65537\r\n"),
+    "long chunk": pay(more=b"Transfer-Encoding: chunked\r\n", body=b"10001\r\n" + bytes(65537)),
+    "class twice": look(more=b"X-Class: look\r\n"),
+    "deadline twice": look(more=b"X-Deadline: 1\r\n"),
+    "id twice": look(more=b"X-Request-Id: c3\r\n"),
+    "no id": look().replace(b"X-Request-Id: a1\r\n", b""),
+    "strange class": look().replace(b"look", b"looks"),
+    "method against class": look().replace(b"GET", b"POST"),
+    "unsafe by GET": pay().replace(b"POST", b"GET"),
+    "key where none is due": pay(more=b"Content-Length: 0\r\nIdempotency-Key: k\r\n"),
+    **{f"deadline {d!r}": look(deadline=d)
+       for d in ("1e3", "inf", "nan", "1_0", "+1", "-1", "soon", "9" * 30, "")},
+    "head without end": look()[:-2] + b"X-Pad: p\r\n" * 4000,
+}
+
+
+@pytest.mark.parametrize("name", UNUSABLE)
+def test_what_is_unusable_gets_an_error_and_reaches_no_endpoint(name: str) -> None:
+    async def test() -> None:
+        endpoint = Endpoint()
+        async with rig(endpoint) as r:
+            head, _ = await r.ask(UNUSABLE[name])
+            assert 400 <= status(head) < 500
+            head, body = await r.ask(look("good"))
+            assert (status(head), body) == (200, b"ok")
+            assert len(endpoint.seen) == 1
+            assert r.sidecar.server.memory.held == 0
+    run(test())
+
+
+def test_the_id_of_an_open_request_is_refused_and_free_again_after_it() -> None:
+    async def test() -> None:
+        go, came = asyncio.Event(), asyncio.Event()
+
+        async def wait(_: bytes, writer: Writer) -> None:
+            came.set()
+            await go.wait()
+            writer.write(OK)
+
+        endpoint = Endpoint(wait)
+        async with rig(endpoint) as r:
+            first = asyncio.create_task(r.ask(look("same")))
+            await came.wait()
+            head, _ = await r.ask(look("same"))
+            assert status(head) == 409
+            go.set()
+            head, _ = await first
+            assert status(head) == 200
+            head, _ = await r.ask(look("same"))
+            assert status(head) == 200
+            assert len(endpoint.seen) == 2
+    run(test())
+
+
+def test_an_error_on_a_connection_leaves_what_was_taken_before_it() -> None:
+    async def test() -> None:
+        async with rig(Endpoint()) as r:
+            reader, writer = await r.connect()
+            writer.write(look() + b"\x00noise\r\n\r\n")
+            assert [status((await read_message(reader))[0]) for _ in range(2)] == [200, 400]
+            assert await reader.read() == b""
+            writer.close()
+    run(test())
+
+
+def test_one_read_full_of_requests_is_stopped_early() -> None:
+    async def test() -> None:
+        endpoint = Endpoint()
+        async with rig(endpoint) as r:
+            reader, writer = await r.connect()
+            writer.write(b"".join(look(f"p{i}") for i in range(300)))
+            seen = [status((await read_message(reader))[0]) for _ in range(server_module.MOST_OPEN + 1)]
+            assert seen == [200] * server_module.MOST_OPEN + [429]
+            assert await reader.read() == b""
+            assert len(endpoint.seen) == server_module.MOST_OPEN
+            writer.close()
+    run(test())
+
+
+@pytest.mark.parametrize("begin", [b"", look()[:20]])
+def test_silent_and_half_requests_do_not_keep_others_out(begin: bytes) -> None:
+    """More of them than there is room for; the usual client behind them is served all the same."""
+    async def test() -> None:
+        limits = {"memory_mb": 64, "sockets": 80}
+        async with rig(Endpoint(), limits=limits) as r:
+            crowd = [await r.connect() for _ in range(24)]
+            for _, writer in crowd:
+                writer.write(begin)
+            head, _ = await r.ask(look())
+            assert status(head) == 200
+            for _, writer in crowd:
+                writer.close()
+    run(test())
+
+
+def test_a_request_that_dribbles_ends_in_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(server_module, "WHOLE_S", 0.3)
+    monkeypatch.setattr(sidecar_module, "SWEEP_S", 0.05)
+
+    async def test() -> None:
+        async with rig(Endpoint()) as r:
+            reader, writer = await r.connect()
+
+            async def dribble() -> None:
+                writer.write(look()[:30])
+                while True:
+                    await asyncio.sleep(0.02)
+                    writer.write(b"x")
+
+            dribbling = asyncio.create_task(dribble())
+            head, _ = await asyncio.wait_for(read_message(reader), 5)
+            assert status(head) == 408
+            dribbling.cancel()
+            writer.close()
+    run(test())
+
+
+def test_connections_without_a_request_are_closed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(server_module, "SILENT_S", 0.1)
+    monkeypatch.setattr(server_module, "IDLE_S", 0.1)
+    monkeypatch.setattr(sidecar_module, "SWEEP_S", 0.05)
+
+    async def test() -> None:
+        async with rig(Endpoint()) as r:
+            for first in (b"", look()):
+                reader, writer = await r.connect()
+                writer.write(first)
+                if first:
+                    assert status((await read_message(reader))[0]) == 200
+                assert await asyncio.wait_for(reader.read(), 5) == b""
+                writer.close()
+    run(test())
+
+
+# -- endpoints
+
+SPOILT = {
+    "too long": b"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\nab",
+    "3 GB": b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nab",
+    "chunks without end": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                           + b"4000\r\n%b\r\n" % bytes(16384) * 5),
+    "short body": b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab",
+    "half a head": b"HTTP/1.1 200 OK\r\nContent-Le",
+    "no length, kept open": b"HTTP/1.1 200 OK\r\n\r\nab",
+    "noise": b"\x01\x02\x03\x04",
+    "lengths that differ": b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nab",
+    "switching": b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("name", SPOILT)
+def test_a_spoilt_answer_is_tried_again_where_that_is_safe(name: str) -> None:
+    async def test() -> None:
+        answers = [SPOILT[name]]
+
+        async def spoil(_: bytes, writer: Writer) -> None:
+            writer.write(answers.pop() if answers else OK)
+
+        endpoints = Endpoint(spoil), Endpoint(spoil)
+        async with rig(*endpoints) as r:
+            head, body = await r.ask(look())
+            assert (status(head), body) == (200, b"ok")
+            answers.append(SPOILT[name])
+            head, _ = await r.ask(pay())
+            assert status(head) == 502
+            assert sum(len(e.seen) for e in endpoints) == 3
+            assert r.sidecar.server.memory.held == 0
+    run(test())
+
+
+def test_interim_answers_and_a_bad_report_spoil_nothing() -> None:
+    async def test() -> None:
+        async def answer(_: bytes, writer: Writer) -> None:
+            writer.write(b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n"
+                         b"HTTP/1.1 200 OK\r\nX-Load: TEXT queue=1e300\r\nContent-Length: 2\r\n\r\nok")
+
+        async with rig(Endpoint(answer)) as r:
+            head, body = await r.ask(pay())
+            assert (status(head), body) == (200, b"ok")
+    run(test())
+
+
+@pytest.mark.parametrize("wait", [None, 0.0, 0.002])
+def test_a_second_copy_is_never_the_answer_to_the_next_request(wait: float | None) -> None:
+    async def test() -> None:
+        async def answer(head: bytes, writer: Writer) -> None:
+            name = head.split(b"X-Request-Id: ")[1][:2]
+            text = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n" + name
+            writer.write(text * 2 if wait is None else text)
+            if wait is not None:
+                asyncio.get_running_loop().call_later(wait, writer.write, text)
+
+        async with rig(Endpoint(answer)) as r:
+            reader, writer = await r.connect()
+            for n in range(10, 30):
+                writer.write(look(str(n)))
+                _, body = await read_message(reader)
+                assert body == str(n).encode()
+            writer.close()
+    run(test())
+
+
+# -- discovery and reloads
+
+def test_a_new_discovery_is_followed_from_a_whole_list() -> None:
+    async def test() -> None:
+        old, new = Endpoint(), Endpoint()
+        await new.start()
+        second = Discovery([host("n0", new.port)], seq=1)
+        async with rig(old, discovery=None, known={"seq": 900, "whole": True, "hosts": []}) as r:
+            await second.start()
+            r.sidecar.discovery.move(("127.0.0.1", second.port))
+            await asyncio.wait_for(second.watched.wait(), 5)
+            assert second.asked == [b"GET /catalog/members HTTP/1.1",
+                                    b"GET /catalog/members?watch=1&from=1 HTTP/1.1"]
+            head, _ = await r.ask(look())
+            assert status(head) == 200
+            assert (len(old.seen), len(new.seen)) == (0, 1)
+        second.server.close()
+        new.server.close()
+    run(test())
+
+
+def test_a_new_discovery_that_is_late_is_tried_again_soon_and_the_list_in_hand_kept() -> None:
+    async def test() -> None:
+        endpoint = Endpoint()
+        late = Discovery([])
+        with socket.create_server(("127.0.0.1", 0)) as place:
+            where = place.getsockname()
+        async with rig(endpoint) as r:
+            late.hosts = [host("e0", endpoint.port)]
+            r.sidecar.discovery.move(where)
+            head, _ = await r.ask(look())
+            assert status(head) == 200
+            await late.start(where[1])
+            await asyncio.wait_for(late.watched.wait(), 2)
+        late.server.close()
+    run(test())
+
+
+def test_sighup_reloads_and_an_unreadable_file_changes_nothing(tmp_path: Path) -> None:
+    async def test() -> None:
+        endpoint, first = Endpoint(), Discovery([])
+        await endpoint.start()
+        hosts = [host("e0", endpoint.port)]
+        first.hosts = hosts
+        await first.start()
+        second = Discovery(hosts)
+        await second.start()
+        with socket.create_server(("127.0.0.1", 0)) as place:
+            port = place.getsockname()[1]
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(configuration(hosts, first.port, port)))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "plumrack", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+            env={**os.environ, "BALANCER_CONFIG": str(path), "BALANCER_DISCOVERY": f"127.0.0.1:{first.port}"})
+        try:
+            await asyncio.wait_for(first.watched.wait(), 10)
+            path.write_text("{half")
+            process.send_signal(signal.SIGHUP)
+            assert process.stderr
+            assert b"reload" in await asyncio.wait_for(process.stderr.readline(), 5)
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(look())
+            assert status((await read_message(reader))[0]) == 200
+            path.write_text(json.dumps(configuration(hosts, second.port, port)))
+            process.send_signal(signal.SIGHUP)
+            await asyncio.wait_for(second.watched.wait(), 5)
+            writer.write(look("a2"))
+            assert status((await read_message(reader))[0]) == 200
+            writer.close()
+            process.send_signal(signal.SIGTERM)
+            assert await asyncio.wait_for(process.wait(), 10) == 0
+        finally:
+            if process.returncode is None:
+                process.kill()
+        for server in (first.server, second.server, endpoint.server):
+            server.close()
+    run(test())
