A silence strikes a server once; waits follow the deployment's pace

A probe printed the module's view twice a second beside the sockets: in flight counts and reports agreed with them, but a server that paused for some 300 ms under load went to 19 strikes at once, one for each attempt that was out (brain._strike), and was left out for 4 to 12 s; three of seven were out like that at a time.

--- a/plumrack/server.py
+++ b/plumrack/server.py
@@ -201,7 +201,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self._in_head:
             return  # a trailer
-        self._head_size += len(name) + len(value)
+        self._head_size += len(name) + len(value) + 4
         if self._head_size + len(self._url) > MOST_HEAD:
             raise UnusableError(431)
         lower = name.lower()
--- a/spokespoke/brain.py
+++ b/spokespoke/brain.py
@@ -20,6 +20,7 @@
 SET_LEAST, SET_MOST = 4.0, 8.0   # bounds of the expected control set
 FAVOURED, FLOOR_SET = 6, 0.3    # servers that start likely; what all floors together add to a set
 WARM = 0.7                       # part of the usual work where a key may be known
+SILENT = 1.0                     # part of the unit of time that a server may be silent with work in hand
 LEVELS = 14                      # levels of c, each half of the one before
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
 WATCH, HOLD = 0, 1               # timer tokens: the list; above it, a held request's id
@@ -43,6 +44,7 @@
         self.mix = [1.0 / len(settings.classes)] * len(settings.classes)
         classes = settings.classes
         self.most_worth = max([1e-9] + [c.worth for c in classes])
+        self.unit = max([1.0] + [c.aim_ms for c in classes]) / 4  # waits follow the deployment's pace
         self.target = [c.aim_ms / 4 for c in classes]
         self.service = [c.aim_ms / 4 for c in classes]
         self.fit = [[1.0] * len(classes) for _ in range(settings.kinds + 1)]
@@ -196,8 +198,8 @@
         if server.out_until > now:
             return False
         # A hung server takes work and stays silent: overdue and silent means out, before any time-out.
-        if server.out and now - server.quiet_at > 3.0 * self.target[cls] + 2 * self.s.dial_timeout_ms:
-            self._strike(server)
+        if server.out and now - server.quiet_at > 3.0 * self.target[cls] + SILENT * self.unit:
+            self._strike(server, now)
             return False
         return now >= server.warm_at or self._has_credit(server)
 
@@ -369,7 +371,7 @@
             # Tables of connections fill up with strays that nobody uses again: give them back.
             server.used_at = -1e12
             self.acts.append(CloseIdle(server.eid))
-        self._feedback(server, work, event, load)
+        self._feedback(server, work, event, sent_at, load)
         if event.closed or work.ended:
             self._forget(work)
             return
@@ -384,7 +386,7 @@
         if not work.out:
             self._try(work)
 
-    def _feedback(self, server: Server, work: Work, event: AttemptEnded, load: float) -> None:
+    def _feedback(self, server: Server, work: Work, event: AttemptEnded, sent_at: float, load: float) -> None:
         cls, outcome, elapsed = work.cls, event.outcome, event.elapsed_ms
         if outcome is Outcome.OK and self.now - work.began <= self.s.classes[cls].aim_ms:
             self.good += 1.0
@@ -407,7 +409,7 @@
         elif outcome in (Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET):
             server.dead = outcome is Outcome.CONNECT_FAILED
             self.asked -= server.dead  # a dead server is no sign of overload
-            self._strike(server)
+            self._strike(server, sent_at)
 
     def _measure(self, server: Server, cls: int, elapsed: float, load: float) -> None:
         kind = server.info.kind
@@ -433,11 +435,17 @@
             self._chill(server, self.now)  # back from the dead, maybe cold, before the list says so
         server.strikes, server.out_until = 0, 0.0
 
-    def _strike(self, server: Server) -> None:
-        """No answer: out of the draws for a while that doubles, then one trial at a time."""
-        server.strikes += 1
-        server.out_until = self.now + 500.0 * 2 ** min(4, server.strikes) * (0.5 + self.rnd())
+    def _strike(self, server: Server, sent_at: float) -> None:
+        """No answer: out of the draws for a while that doubles, then one trial at a time.
+
+        A silence strikes once.  What was out there when it began says nothing new, and counting each of those
+        attempts would put a server that paused for a moment under full load out for as long as a dead one.
+        """
         server.quiet_at = self.now
+        if sent_at < server.struck_at:
+            return
+        server.strikes, server.struck_at = server.strikes + 1, self.now
+        server.out_until = self.now + self.unit * 2 ** min(4, server.strikes) * (0.5 + self.rnd())
         self._learn(server, False)
 
     def _probed(self, event: Probed) -> None:
--- a/spokespoke/records.py
+++ b/spokespoke/records.py
@@ -26,7 +26,8 @@
     out: int = 0                  # own attempts there
     quiet_at: float = 0.0         # since when it has been silent with work in hand
     used_at: float = LONG_AGO     # the last use of a connection
-    strikes: int = 0              # silences in a row
+    strikes: int = 0              # silences in a row, and the time of the last
+    struck_at: float = LONG_AGO
     dead: bool = False            # the last of them was a failed connection
     out_until: float = 0.0        # left out of the draws until then
     cold_from: float = 0.0        # start and end of its warm-up
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -275,3 +275,18 @@
     assert not balancer.work
     balancer.handle(302.0, ListNews(ListKind.FULL, 300, (entry(500),)))
     assert set(balancer.servers) == {500}
+
+
+def test_a_silence_strikes_once_however_much_was_out() -> None:
+    """Twenty attempts that time out together are one pause of the server, not twenty."""
+    balancer = started(1, settings(max_attempts=1))
+    sent = [balancer.handle(0.0, Request(rid, 0, 3000))[0] for rid in range(20)]
+    assert all(isinstance(s, Send) for s in sent)
+    for rid in range(20):
+        balancer.handle(400.0 + rid, ended(rid, 0, 1, Outcome.TIMEOUT))
+    server = balancer.servers[1]
+    assert server.strikes == 1
+    assert server.out_until - 400.0 <= 2 * balancer.unit * 1.5
+    balancer._send(balancer.work.setdefault(99, brain.Work(99, 0, 0, 5000.0, 9000.0)), server)
+    balancer.handle(6000.0, ended(99, 0, 1, Outcome.TIMEOUT))
+    assert server.strikes == 2
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -221,6 +221,7 @@
 def test_a_second_copy_is_never_the_answer_to_the_next_request(wait: float | None) -> None:
     async def test() -> None:
         async def answer(head: bytes, writer: Writer) -> None:
+            await asyncio.sleep(0.01)  # its work; the copy of the answer before this one comes meanwhile
             name = head.split(b"X-Request-Id: ")[1][:2]
             text = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n" + name
             writer.write(text * 2 if wait is None else text)
