A request given up is answered at once with advice; uvloop runs the loop

- brain._hold clamped a wait to the give-up time and then ended the request there.
A wait after which no attempt is possible ends it now, and every refusal says when to come back, within max_retry_after_ms, longer where servers are full and after more tries.
- uvloop was pinned and never used: asyncio.run took the standard loop.
On uvloop a write to a transport that is breaking raises, so answers are not written to one that is closing.

--- a/plumrack/__main__.py
+++ b/plumrack/__main__.py
@@ -9,6 +9,8 @@
 import sys
 from collections.abc import Mapping
 
+import uvloop
+
 from . import config
 from .log import say
 from .sidecar import Sidecar
@@ -52,7 +54,8 @@
     except config.ConfigError as error:
         say("configuration", error)
         return 2
-    return asyncio.run(_run(conf))
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(_run(conf))
 
 
 if __name__ == "__main__":
--- a/plumrack/server.py
+++ b/plumrack/server.py
@@ -309,25 +309,23 @@
         self._put(call, self._head(call, 200, headers, len(body)) + body)
 
     def _put(self, call: Call, data: bytes) -> None:
-        """Answers go out in the order of the requests."""
+        """Answers go out in the order of the requests; on a connection that is breaking, not at all."""
         call.reply = data
-        queue = self._queue
-        while queue and self._transport and queue[0].reply is not None:
+        queue, transport = self._queue, self._transport
+        while queue and transport and not transport.is_closing() and queue[0].reply is not None:
             first = queue.popleft()
-            self._transport.write(first.reply or b"")
+            transport.write(first.reply or b"")
             first.reply = b""
             self.at = self._server.loop.time()
             if not first.keep:
-                self._last()
-                return
+                self._last(transport)
 
-    def _last(self) -> None:
+    def _last(self, transport: asyncio.Transport) -> None:
         """The last answer is written: close, or first let come what the client is still sending."""
-        if self._deaf and self._transport:
-            if self._transport.can_write_eof():
-                self._transport.write_eof()
-        else:
+        if not self._deaf:
             self.close()
+        elif not transport.is_closing():
+            transport.write_eof()
 
 
 class Server:
--- a/spokespoke/brain.py
+++ b/spokespoke/brain.py
@@ -303,7 +303,13 @@
         return float(self.full * self.service[work.cls] * 2.0 ** (tries - 1) / worth ** 0.5)
 
     def _hold(self, work: Work, wait: float) -> None:
-        wait = min(work.give_up - self.now, (0.5 + self.rnd()) * max(wait, 2 * self.s.tick_ms))
+        """Wait for another attempt; where none would be possible after the wait, this is giving up, at once.
+
+        The client can use the time that is left, and a request held to its end only keeps it from doing so.
+        """
+        wait = (0.5 + self.rnd()) * max(wait, 2 * self.s.tick_ms)
+        if wait >= work.give_up - self.now - (self.service[work.cls] / 2 if work.sent else 0.0):
+            return self._end(work)
         self.acts.append(SetTimer(work.rid + HOLD, wait))
 
     def _send(self, work: Work, server: Server) -> None:
@@ -331,9 +337,14 @@
         settings = self.s.classes[work.cls]
         harmless = not (work.maybe_ran or work.out) or settings.effect is Effect.SAFE or (
             settings.effect is Effect.KEYED and settings.scope is Scope.ALL)
-        self.acts.append(Refuse(work.rid) if harmless else Fail(work.rid))
+        self.acts.append(Refuse(work.rid, self._come_back(work)) if harmless else Fail(work.rid))
         self._forget(work)
 
+    def _come_back(self, work: Work) -> float:
+        """When a refused client may find room: the longer the fuller the servers are, and not all at once."""
+        wait = (0.5 + self.rnd()) * (0.25 + self.full) * self.unit * 2 ** min(3, len(work.sent))
+        return float(min(wait, self.s.max_retry_after_ms))
+
     def _forget(self, work: Work) -> None:
         work.ended = True
         if not work.out:
