A broken connection is no strike where the server answers; a stall is seen before it times out

Ruled out: idle time of the connections (5 to 650 ms alike), CPU (0.17 of a core), reports. A reset or failed connect strikes only where the server has not answered for a third of a unit. One that died is found out that much later.

Also: a server that has work in hand is scored by its silence too. And a crowd of connections was accepted faster than those closed for it were gone, past the descriptor limit.

--- a/plumrack/server.py
+++ b/plumrack/server.py
@@ -145,6 +145,8 @@
         A client that means it sends at once, so silence and halves go soon.  This should also hold against
         floods of any other kind; it could harm a client on a slow link while the table is full.
         """
+        if self._closing:
+            return False
         if self._in_message and not self._queue:
             return now - self._whole_by + WHOLE_S > STUCK_S
         return self.idle and (self._used or now - self.at > NEW_S)
@@ -353,8 +355,11 @@
     def _accept(self) -> None:
         """Take all connections that wait, as far as there is room for them."""
         while self._socket:
-            if len(self._clients) >= self._fds.most_clients and not self._reclaim() or not self._fds.take():
-                self._pause("all descriptors are in use")
+            if len(self._clients) >= self._fds.most_clients or not self._fds.take():
+                # A descriptor is free only when its connection is gone, some turns of the loop later.  Until
+                # then nothing is accepted on its account, or a crowd comes in faster than others are closed.
+                if not self._reclaim():
+                    self._pause("all descriptors are in use")
                 return
             try:
                 sock, _ = self._socket.accept()
--- a/spokespoke/brain.py
+++ b/spokespoke/brain.py
@@ -21,7 +21,9 @@
 FAVOURED, FLOOR_SET = 6, 0.3    # servers that start likely; what all floors together add to a set
 WARM = 0.7                       # part of the usual work where a key may be known
 SILENT = 1.0                     # part of the unit of time that a server may be silent with work in hand
+HEARD = 1 / 3                    # so many units after an answer a break is no sign of death
 LEVELS = 14                      # levels of c, each half of the one before
+BROKE = (Outcome.CONNECT_FAILED, Outcome.RESET)
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
 WATCH, HOLD = 0, 1               # timer tokens: the list; above it, a held request's id
 
@@ -221,6 +223,10 @@
             if server in tried or not self._usable(server, cls):
                 continue
             score = self._score(server, cls) * (WARM if server in homes else 1.0) * (1.0 + 1e-6 * self.rnd())
+            if server.out:
+                # Its last report says nothing of a stall that began since.  What it holds and has not
+                # answered does, long before a time-out: whatever slows it, no new request will be quicker.
+                score = max(score, (server.out + 1.0) * (self.now - server.quiet_at))
             if score < least:
                 best, least = server, score
         if best is None and self.ready:
@@ -417,6 +423,11 @@
         elif outcome is Outcome.ERROR:  # quick errors look light and would draw more
             server.slow, server.slow_at = min(20.0, server.slow + 1.0), self.now
             self._learn(server, False)
+        elif outcome in BROKE and self.now - server.heard_at < HEARD * self.unit:
+            # It answers on other connections, so one that broke says nothing of the server: networks, limits
+            # and stale connections break them too.  One that has died is silent from here on and is found
+            # out a moment later; until then a few more attempts may be lost on it.
+            self.asked -= outcome is Outcome.CONNECT_FAILED
         elif outcome in (Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET):
             server.dead = outcome is Outcome.CONNECT_FAILED
             self.asked -= server.dead  # a dead server is no sign of overload
@@ -441,7 +452,7 @@
             self.mean_load += (server.load - self.mean_load) * 0.05
 
     def _answered(self, server: Server) -> None:
-        server.quiet_at = self.now
+        server.quiet_at = server.heard_at = self.now
         if server.dead and server.strikes > 2 and self.now >= server.warm_at:
             self._chill(server, self.now)  # back from the dead, maybe cold, before the list says so
         server.strikes, server.out_until = 0, 0.0
--- a/spokespoke/records.py
+++ b/spokespoke/records.py
@@ -25,6 +25,7 @@
     slow_at: float = 0.0
     out: int = 0                  # own attempts there
     quiet_at: float = 0.0         # since when it has been silent with work in hand
+    heard_at: float = LONG_AGO    # its last answer
     used_at: float = LONG_AGO     # the last use of a connection
     strikes: int = 0              # silences in a row, and the time of the last
     struck_at: float = LONG_AGO
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -300,3 +300,35 @@
     balancer._send(balancer.work.setdefault(99, brain.Work(99, 0, 0, 5000.0, 9000.0)), server)
     balancer.handle(6000.0, ended(99, 0, 1, Outcome.TIMEOUT))
     assert server.strikes == 2
+
+
+def test_a_stalled_server_is_passed_by_before_its_time_out() -> None:
+    """Its last report says idle, so it would win every draw until the first attempt times out."""
+    balancer = started(2, settings(report_fields=("waiting",)))
+    stalled, busy = balancer.ready
+    for server in balancer.ready:
+        server.c = 0.98
+        server.load_at, server.load = 100.0, 0.0
+    busy.load = 6.0
+    stalled.out, stalled.quiet_at = 3, 100.0
+    balancer.handle(101.0, Request(1, 0, 3000))
+    assert balancer.work[1].sent[0][0] is stalled
+    balancer.now = 600.0
+    for server in balancer.ready:
+        server.load_at = 600.0
+    stalled.quiet_at = 101.0
+    balancer.handle(600.0, Request(2, 0, 3000))
+    assert balancer.work[2].sent[0][0] is busy
+
+
+@pytest.mark.parametrize("outcome", [Outcome.RESET, Outcome.CONNECT_FAILED])
+def test_a_connection_that_breaks_is_no_silence_of_a_server_that_answers(outcome: Outcome) -> None:
+    balancer = started(1, settings(max_attempts=1))
+    for rid in range(3):
+        assert isinstance(balancer.handle(float(rid), Request(rid, 0, 3000))[0], Send)
+    balancer.handle(20.0, ended(0, 0, 1, Outcome.OK))
+    balancer.handle(30.0, ended(1, 0, 1, outcome))
+    server = balancer.servers[1]
+    assert server.strikes == 0
+    balancer.handle(20.0 + balancer.unit, ended(2, 0, 1, outcome))
+    assert server.strikes == 1
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -327,3 +327,28 @@
             (advice,) = [line for line in head.split(b"\r\n") if line.startswith(b"Retry-After: ")]
             assert 0 < float(advice[13:]) <= 2
     run(test())
+
+
+def test_a_crowd_never_takes_more_descriptors_than_there_are(monkeypatch: pytest.MonkeyPatch) -> None:
+    """They come at once and all may be closed for one another, but a close takes its time."""
+    monkeypatch.setattr(server_module, "NEW_S", 0.0)
+
+    async def test() -> None:
+        async with rig(Endpoint(), limits={"memory_mb": 64, "sockets": 80}) as r:
+            server = r.sidecar.server
+            most: list[int] = []
+            attach = server._attach
+
+            async def counted(client: server_module.Client, sock: socket.socket) -> None:
+                most.append(len(server._clients))
+                await attach(client, sock)
+
+            monkeypatch.setattr(server, "_attach", counted)
+            crowd = await asyncio.gather(*(r.connect() for _ in range(60)))
+            head, _ = await r.ask(look())
+            assert status(head) == 200
+            assert len(most) >= 61
+            assert max(most) <= server._fds.most_clients
+            for _, writer in crowd:
+                writer.close()
+    run(test())
