--- a/spokespoke/brain.py
+++ b/spokespoke/brain.py
@@ -22,7 +22,7 @@
 WARM = 0.7                       # part of the usual work where a key may be known
 SILENT = 1.0                     # part of the unit of time that a server may be silent with work in hand
 HEARD = 1 / 3                    # so many units after an answer a break is no sign of death
-PACE, TURNED_AWAY = 0.08, 0.6    # step of the share let in; the part of its attempts that may find no place
+PACE, TURNED_AWAY = 0.16, 0.55    # step of the share let in; the part of its attempts that may find no place
 ROOM_LEAST, ROOM_MOST = 0.1, 1.5  # its bounds: never shut, and full again soon after
 LEVELS = 14                      # levels of c, each half of the one before
 BROKE = (Outcome.CONNECT_FAILED, Outcome.RESET)
@@ -263,8 +263,8 @@
 
     def _request(self, request: Request) -> None:
         now, settings = self.now, self.s.classes[request.cls]
-        # Time alone opens it again too: with little traffic too few answers tell that the trouble is over.
-        self.room = min(ROOM_MOST, self.room * (1.0 + min(1.0, (now - self.rate_at) / (20.0 * self.unit))))
+        # Time alone opens it again too, slowly: a share that lets in almost nothing hears almost nothing.
+        self.room = min(ROOM_MOST, self.room * (1.0 + min(1.0, (now - self.rate_at) / (200.0 * self.unit))))
         self.rate += (1.0 / 10000.0) - self.rate * min(1.0, (now - self.rate_at) / 10000.0)
         self.rate_at = now
         last = now + request.patience_ms - 2 * self.s.tick_ms
@@ -290,6 +290,8 @@
             wait = self._pause(work)
             if wait > 0:
                 return self._hold(work, wait)
+        if tries and not self._admit(work.cls):  # asked again at each try, so that low worth leaves first
+            return self._end(work)
         server = self._pick(work)
         if server is None:
             if work.home:
