A cold server's answer gives its place back

At fault: _has_credit gives half of the mean rate times the slowest ramp, far under what rule 4 allows (2.5 times what it can do), and takes the mean over what clients ask, refused or not, and so too little or too much. An answer now gives back the credit that its request took: sent is at most what it answers and the ramp's part, so the rule holds by what the server does and not by a guess. The ramp's rate counts what is let in.

The new test fails without the change: the cold server then gets none of 60 requests while the other is full.

--- a/spokespoke/brain.py
+++ b/spokespoke/brain.py
@@ -43,7 +43,7 @@
         self.gaps = [log1p(-(0.5 ** k)) if k else 0.0 for k in range(LEVELS)]
         self.total, self.floor, self.watch_fails = 0.0, 0.01, 0
         self.work: dict[int, Work] = {}
-        self.full, self.room = 0.0, ROOM_MOST
+        self.full, self.room, self.room_at = 0.0, ROOM_MOST, 0.0
         self.ring: list[tuple[int, Server]] = []
         self.mix = [1.0 / len(settings.classes)] * len(settings.classes)
         classes = settings.classes
@@ -264,9 +264,8 @@
     def _request(self, request: Request) -> None:
         now, settings = self.now, self.s.classes[request.cls]
         # Time alone opens it again too, slowly: a share that lets in almost nothing hears almost nothing.
-        self.room = min(ROOM_MOST, self.room * (1.0 + min(1.0, (now - self.rate_at) / (200.0 * self.unit))))
-        self.rate += (1.0 / 10000.0) - self.rate * min(1.0, (now - self.rate_at) / 10000.0)
-        self.rate_at = now
+        self.room = min(ROOM_MOST, self.room * (1.0 + min(1.0, (now - self.room_at) / (200.0 * self.unit))))
+        self.room_at = now
         last = now + request.patience_ms - 2 * self.s.tick_ms
         if settings.late_worth <= 0:  # past the aim nothing is left to win, and failing late costs more
             aim = settings.aim_ms + settings.aim_stretch * request.work_ms
@@ -274,10 +273,11 @@
         work = self.work[request.request] = Work(request.request, request.cls, request.key, now, last)
         for cls in range(len(self.mix)):
             self.mix[cls] += ((cls == request.cls) - self.mix[cls]) * 0.02
-        if self._admit(work.cls):
-            self._try(work)
-        else:
-            self._end(work)
+        if not self._admit(work.cls):
+            return self._end(work)
+        self.rate += (1.0 / 10000.0) - self.rate * min(1.0, (now - self.rate_at) / 10000.0)
+        self.rate_at = now
+        self._try(work)
 
     def _try(self, work: Work) -> None:
         """Send the next attempt, hold the request, or end it."""
@@ -438,6 +438,12 @@
         if outcome is Outcome.OK:
             self._learn(server, elapsed <= self.target[cls])
             self._measure(server, cls, elapsed, load)
+            if self.now < server.warm_at:
+                # What it has answered it had room for, so the next may take that place, whatever the ramp
+                # says: answers come no faster than it can work.  What it turns away or leaves gives nothing
+                # back.  It guards as well against a ramp guessed too low; it would lag behind a server whose
+                # capacity falls again.
+                server.credit = max(server.credit, 0.0)
         elif outcome is Outcome.FULL:
             server.load, server.load_at = max(server.load, self.mean_load + 2.0), self.now
             if self.rnd() >= self.full:  # where all are full, being full says little about this one
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -6,6 +6,7 @@
 import signal
 import socket
 import sys
+import time
 from collections.abc import Coroutine
 from pathlib import Path
 from typing import Any
@@ -446,3 +447,37 @@
             assert seen == [200] * 200
             writer.close()
     run(test())
+
+
+def test_a_cold_server_that_keeps_up_is_given_more_while_the_others_are_full() -> None:
+    """What it answers in time it has room for; a ramp guessed from the clock alone leaves it idle."""
+    async def test() -> None:
+        full = asyncio.Event()
+
+        async def answer(_: bytes, writer: Writer) -> None:
+            writer.write(NOT_RUN if full.is_set() else OK)
+
+        warm, cold = Endpoint(answer), Endpoint()
+        await warm.start()
+        await cold.start()
+        hosts = [host("warm", warm.port), {**host("cold", cold.port), "born_ms": time.time() * 1000}]
+        conf = configuration(hosts, 1)
+        conf["settings"]["rules"] |= {"cold_share": 0.3, "warm_within_ms": 3.6e6}
+        more = {k: conf[k] for k in ("known", "settings")}
+        async with rig(discovery=Discovery(hosts), **more) as r:
+            reader, writer = await r.connect()
+
+            async def ask(n: int) -> int:
+                writer.write(look(f"r{n}"))
+                return status((await read_message(reader))[0])
+
+            while not cold.seen:  # the ramp lets the first one through after a while
+                assert await ask(len(warm.seen)) == 200
+            full.set()
+            seen = [await ask(10**6 + n) for n in range(60)]
+            assert seen.count(200) >= 50
+            assert len(cold.seen) >= 50
+            writer.close()
+        warm.server.close()
+        cold.server.close()
+    run(test())
