A lost answer is no silence of a server that serves what came later

Seen in the trace: 421 attempts timed out; 394 of them on servers that had answered this client meanwhile, 408 where a request sent later had been served, 6 on servers silent to all. Yet each struck its server (brain._feedback), and one that was out alone made it silent (_usable, _pick), as quiet_at ran on from the last answer with nothing asked since: 1,344 of 8,218 looks at a ready server found it out. Ruled out: slow servers (all alike, in proportion to what they serve), draining ones, reports. A time-out strikes only where nothing sent later was served, and silence counts from the first request since the last answer.

Both new tests, one over sockets, fail without the change.

--- a/spokespoke/brain.py
+++ b/spokespoke/brain.py
@@ -202,7 +202,7 @@
         if server.out_until > now:
             return False
         # A hung server takes work and stays silent: overdue and silent means out, before any time-out.
-        if server.out and now - server.quiet_at > 3.0 * self.target[cls] + SILENT * self.unit:
+        if server.out and server.owes and now - server.quiet_at > 3.0 * self.target[cls] + SILENT * self.unit:
             self._strike(server, now)
             return False
         return now >= server.warm_at or self._has_credit(server)
@@ -225,7 +225,7 @@
             if server in tried or not self._usable(server, cls):
                 continue
             score = self._score(server, cls) * (WARM if server in homes else 1.0) * (1.0 + 1e-6 * self.rnd())
-            if server.out:
+            if server.out and server.owes:
                 # Its last report says nothing of a stall that began since.  What it holds and has not
                 # answered does, long before a time-out: whatever slows it, no new request will be quicker.
                 score = max(score, (server.out + 1.0) * (self.now - server.quiet_at))
@@ -348,8 +348,8 @@
             patience = max(0.45 * (work.give_up - now), 3.0 * self.target[work.cls])
             expires = min(expires, now + patience)
         load = self._score(server, work.cls) / (self.service[work.cls] * self.fit[server.info.kind][work.cls])
-        if not server.out:
-            server.quiet_at = now
+        if not (server.out and server.owes):
+            server.owes, server.quiet_at = True, now
         server.out += 1
         if server.strikes:  # one at a time until it answers
             server.out_until = max(server.out_until, expires)
@@ -436,6 +436,7 @@
         if outcome in (Outcome.OK, Outcome.FULL):
             self._answered(server)
         if outcome is Outcome.OK:
+            server.served_sent = max(server.served_sent, sent_at)
             self._learn(server, elapsed <= self.target[cls])
             self._measure(server, cls, elapsed, load)
             if self.now < server.warm_at:
@@ -456,6 +457,11 @@
             # and stale connections break them too.  One that has died is silent from here on and is found
             # out a moment later; until then a few more attempts may be lost on it.
             return
+        elif outcome is Outcome.TIMEOUT and server.served_sent > sent_at:
+            # It has served what was sent later, so this one alone is lost or stuck: the server does work.  It
+            # guards against answers that never come, whoever drops them.  It could harm where a server hangs
+            # in part, on one of its workers, say: that one costs an attempt now and then.
+            return
         elif outcome in (Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET):
             server.dead = outcome is Outcome.CONNECT_FAILED
             if outcome is Outcome.TIMEOUT and server.heard_at >= sent_at:
@@ -481,7 +487,7 @@
             self.mean_load += (server.load - self.mean_load) * 0.05
 
     def _answered(self, server: Server) -> None:
-        server.quiet_at = server.heard_at = self.now
+        server.owes, server.heard_at = False, self.now
         if server.dead and server.strikes > 2 and self.now >= server.warm_at:
             self._chill(server, self.now)  # back from the dead, maybe cold, before the list says so
         server.strikes, server.out_until = 0, 0.0
--- a/spokespoke/records.py
+++ b/spokespoke/records.py
@@ -24,7 +24,9 @@
     slow: float = 1.0             # its own slowness against its kind, and when it was last measured
     slow_at: float = 0.0
     out: int = 0                  # own attempts there
-    quiet_at: float = 0.0         # since when it has been silent with work in hand
+    owes: bool = False            # something was sent there since its last answer
+    quiet_at: float = 0.0         # since when it has been silent on that
+    served_sent: float = LONG_AGO  # when the latest of those that it has served was sent
     heard_at: float = LONG_AGO    # its last answer
     used_at: float = LONG_AGO     # the last use of a connection
     strikes: int = 0              # silences in a row, and the time of the last
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -310,13 +310,13 @@
         server.c = 0.98
         server.load_at, server.load = 100.0, 0.0
     busy.load = 6.0
-    stalled.out, stalled.quiet_at = 3, 100.0
+    stalled.out, stalled.owes, stalled.quiet_at = 3, True, 100.0
     balancer.handle(101.0, Request(1, 0, 3000))
     assert balancer.work[1].sent[0][0] is stalled
     balancer.now = 600.0
     for server in balancer.ready:
         server.load_at = 600.0
-    stalled.quiet_at = 101.0
+    stalled.owes, stalled.quiet_at = True, 101.0
     balancer.handle(600.0, Request(2, 0, 3000))
     assert balancer.work[2].sent[0][0] is busy
 
@@ -371,3 +371,22 @@
                     balancer.handle(now, ended(rid, 0, act.endpoint, outcome))
     assert served > 0.95 * 4 * 300
     assert tried < 9.9 * 300
+
+
+def test_a_lost_answer_is_no_silence_of_a_server_that_serves_what_came_later() -> None:
+    balancer = started(1, settings(max_attempts=1))
+    for rid in range(3):
+        assert isinstance(balancer.handle(float(rid), Request(rid, 0, 3000))[0], Send)
+    balancer.handle(30.0, ended(1, 0, 1, Outcome.OK))
+    balancer.handle(400.0, ended(0, 0, 1, Outcome.TIMEOUT))
+    server = balancer.servers[1]
+    assert server.strikes == 0
+    balancer.handle(401.0, ended(2, 0, 1, Outcome.TIMEOUT))
+    assert server.strikes == 1
+    # One that is out for long while the server is asked nothing else makes no silence either.
+    balancer = started(1, settings(max_attempts=1))
+    for rid in range(2):
+        balancer.handle(float(rid), Request(rid, 0, 3000))
+    balancer.handle(30.0, ended(1, 0, 1, Outcome.OK))
+    balancer.now = 2000.0
+    assert balancer._usable(balancer.servers[1], 0)
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -481,3 +481,29 @@
         warm.server.close()
         cold.server.close()
     run(test())
+
+
+def test_an_answer_that_never_comes_leaves_its_endpoint_in_use() -> None:
+    """The endpoint serves all that comes after it: it is the answer that is lost, and it alone."""
+    async def test() -> None:
+        lost = asyncio.Event()
+
+        async def answer(head: bytes, writer: Writer) -> None:
+            if b"lost" in head and not lost.is_set():
+                lost.set()
+            else:
+                writer.write(OK)
+
+        async with rig(Endpoint(answer), Endpoint(answer)) as r:
+            first = asyncio.create_task(r.ask(look("lost")))
+            await lost.wait()
+            reader, writer = await r.connect()
+            n = 0
+            while not first.done():
+                writer.write(look(f"r{n}"))
+                assert status((await read_message(reader))[0]) == 200
+                n += 1
+            assert status((await first)[0]) == 200
+            assert [s.strikes for s in r.sidecar.engine._balancer.ready] == [0, 0]
+            writer.close()
+    run(test())
