A class that hangs on a server which serves the others is left out there alone

The view held them healthy: each answer of another class ends the strikes (brain._answered), so lookups went on going there and lost half of their aim each. Ruled out: dials (the requests were written and the connections were up), load, reports, one zone or kind (both, two). Two failures of a class in a row on a server that works now bar the class there for a while that doubles.

The new test over sockets fails without the change.

--- a/spokespoke/brain.py
+++ b/spokespoke/brain.py
@@ -14,7 +14,7 @@
 from .interface import (Action, AttemptEnded, CloseIdle, Departed, Effect, Endpoint, Event, Fail,
                         ListKind, ListNews, Outcome, Probe, Probed, Refuse, Request, Scope, Send, SetTimer,
                         Settings, State, StreamBegan, TimerFired, Watch)
-from .records import Server, Work, spread
+from .records import Lane, Server, Work, spread
 
 RAISE, LOWER = 0.1, 0.15         # a and b of the automaton
 SET_LEAST, SET_MOST = 4.0, 8.0   # bounds of the expected control set
@@ -107,6 +107,7 @@
         if entry.booted_ms > 0 and (rebooted or not server.ready):
             self._chill(server, max(entry.booted_ms, server.cold_from))
             server.strikes, server.out_until = 0, 0.0
+            server.lanes.clear()
         if not server.ready:
             server.ready = True
             self.ready.append(server)
@@ -201,6 +202,8 @@
         now = self.now
         if server.out_until > now:
             return False
+        if server.lanes and (lane := server.lanes.get(cls)) and lane.out_until > now:
+            return False
         # A hung server takes work and stays silent: overdue and silent means out, before any time-out.
         if server.out and server.owes and now - server.quiet_at > 3.0 * self.target[cls] + SILENT * self.unit:
             self._strike(server, now)
@@ -353,6 +356,8 @@
         server.out += 1
         if server.strikes:  # one at a time until it answers
             server.out_until = max(server.out_until, expires)
+        if (lane := server.lanes.get(work.cls)) and lane.misses > 1:
+            lane.out_until = max(lane.out_until, expires)
         if now < server.warm_at:
             server.credit -= 1.0
         work.sent.append((server, now, max(0.2, load)))
@@ -437,6 +442,8 @@
             self._answered(server)
         if outcome is Outcome.OK:
             server.served_sent = max(server.served_sent, sent_at)
+            if (lane := server.lanes.get(cls)) and sent_at >= lane.sent_at:
+                del server.lanes[cls]
             self._learn(server, elapsed <= self.target[cls])
             self._measure(server, cls, elapsed, load)
             if self.now < server.warm_at:
@@ -452,22 +459,37 @@
         elif outcome is Outcome.ERROR:  # quick errors look light and would draw more
             server.slow, server.slow_at = min(20.0, server.slow + 1.0), self.now
             self._learn(server, False)
+            self._miss(server, cls, sent_at)
         elif outcome in BROKE and self.now - server.heard_at < HEARD * self.unit:
             # It answers on other connections, so one that broke says nothing of the server: networks, limits
             # and stale connections break them too.  One that has died is silent from here on and is found
             # out a moment later; until then a few more attempts may be lost on it.
             return
         elif outcome is Outcome.TIMEOUT and server.served_sent > sent_at:
-            # It has served what was sent later, so this one alone is lost or stuck: the server does work.  It
-            # guards against answers that never come, whoever drops them.  It could harm where a server hangs
-            # in part, on one of its workers, say: that one costs an attempt now and then.
-            return
+            self._miss(server, cls, sent_at)
         elif outcome in (Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET):
             server.dead = outcome is Outcome.CONNECT_FAILED
             if outcome is Outcome.TIMEOUT and server.heard_at >= sent_at:
                 self._found_room(False)  # it serves others: too much for it, no stall
             self._strike(server, sent_at)
 
+    def _miss(self, server: Server, cls: int, sent_at: float) -> None:
+        """An attempt failed on a server that works: it served what was sent later, or answered with an error.
+
+        One alone is lost or stuck and says nothing of the server.  Where a second of its class fails before
+        one is served, that class is left out there for a while that doubles, then tried one at a time; the
+        others go on.  It guards against answers that never come, whoever drops them, and a server that can't
+        do one kind of work: a store it can't reach, a release that broke a path.  It could harm where a few
+        requests of a class fail wherever they go: they bar it for a moment on each server they come to.
+        """
+        lane = server.lanes.setdefault(cls, Lane())
+        if sent_at < lane.barred_at:
+            return  # it was out there already when the class was barred
+        lane.misses, lane.sent_at = lane.misses + 1, max(lane.sent_at, sent_at)
+        if lane.misses > 1:
+            lane.barred_at = self.now
+            lane.out_until = self.now + self.unit * 2 ** min(4, lane.misses - 1) * (0.5 + self.rnd())
+
     def _measure(self, server: Server, cls: int, elapsed: float, load: float) -> None:
         kind = server.info.kind
         sample = elapsed / load
--- a/spokespoke/records.py
+++ b/spokespoke/records.py
@@ -9,6 +9,16 @@
 LONG_AGO = -1e12
 
 
+@dataclass(slots=True, eq=False)
+class Lane:
+    """One class of requests that fails on a server that serves others."""
+
+    misses: int = 0               # failures in a row, and when the latest of these was sent
+    sent_at: float = LONG_AGO
+    barred_at: float = LONG_AGO   # when it was last left out, and until when
+    out_until: float = 0.0
+
+
 @dataclass(slots=True, eq=False)
 class Server:
     """What one client knows of one endpoint."""
@@ -31,6 +41,7 @@
     used_at: float = LONG_AGO     # the last use of a connection
     strikes: int = 0              # silences in a row, and the time of the last
     struck_at: float = LONG_AGO
+    lanes: dict[int, Lane] = field(default_factory=dict)  # the classes that fail there
     dead: bool = False            # the last of them was a failed connection
     out_until: float = 0.0        # left out of the draws until then
     cold_from: float = 0.0        # start and end of its warm-up
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -507,3 +507,38 @@
             assert [s.strikes for s in r.sidecar.engine._balancer.ready] == [0, 0]
             writer.close()
     run(test())
+
+
+def test_an_endpoint_that_hangs_on_one_class_goes_on_with_the_others() -> None:
+    """Answers of the others keep it in use, so the class that hangs must be seen by itself."""
+    async def test() -> None:
+        async def half(head: bytes, writer: Writer) -> None:
+            if head.startswith(b"POST"):
+                writer.write(OK)
+
+        broken, whole = Endpoint(half), Endpoint()
+
+        def hung() -> int:
+            return sum(head.startswith(b"GET") for head in broken.seen)
+
+        async with rig(broken, whole) as r:
+            reader, writer = await r.connect()
+            names = iter(range(10**6))
+
+            async def ask(request: bytes) -> int:
+                writer.write(request)
+                return status((await read_message(reader))[0])
+
+            while hung() < 2:
+                crowd = [asyncio.create_task(r.ask(look(f"c{next(names)}"))) for _ in range(6)]
+                while not all(task.done() for task in crowd):
+                    assert await ask(pay(f"p{next(names)}")) == 200
+                assert [status((await task)[0]) for task in crowd] == [200] * 6
+            before, posts = hung(), len(broken.seen) - hung()
+            for _ in range(30):
+                assert await ask(look(f"l{next(names)}")) == 200
+                assert await ask(pay(f"p{next(names)}")) == 200
+            assert hung() == before
+            assert len(broken.seen) - before > posts
+            writer.close()
+    run(test())
