Tests that listen later use an address that nothing takes meanwhile

Why: with many tests at once the reload test failed in 1 of 40 and again in 1 of 60 runs: the sidecar's port had been free a moment before, and a connection of another test had it when the sidecar came to listen. Both tests that listen later now do so on 127.0.0.2, from which no connection starts.

The program is unchanged.

--- a/tests/net.py
+++ b/tests/net.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import replace
@@ -58,8 +59,8 @@
         self.asked: list[bytes] = []
         self.watched = asyncio.Event()
 
-    async def start(self, port: int = 0) -> None:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+    async def start(self, where: tuple[str, int] = ("127.0.0.1", 0)) -> None:
+        self.server = await asyncio.start_server(self._serve, *where)
         self.port = self.server.sockets[0].getsockname()[1]
 
     async def _serve(self, reader: Reader, writer: Writer) -> None:
@@ -78,17 +79,24 @@
             writer.close()
 
 
+def unused() -> tuple[str, int]:
+    """An address to listen on later: connections start from 127.0.0.1, so none takes this port meanwhile."""
+    with socket.create_server(("127.0.0.2", 0)) as place:
+        ip, port = place.getsockname()
+        return ip, port
+
+
 def host(name: str, port: int, health: str = "Ready") -> dict[str, Any]:
     return {"host": name, "dial": f"127.0.0.1:{port}", "site": "a", "class": "m", "block": 0,
             "health": health, "share": 1.0, "born_ms": 0}
 
 
-def configuration(hosts: list[dict[str, Any]], discovery: int, port: int = 1, **more: Any) -> dict[str, Any]:
+def configuration(hosts: list[dict[str, Any]], discovery: int, **more: Any) -> dict[str, Any]:
     settings = {"lanes": LANES, "zones": ["a"], "kinds": ["m"], "zone": 0, "discovery": "ask", "tick_ms": 1.0,
                 "bounds": {"max_attempts": 6, "dial_timeout_ms": 250, "conn_idle_ms": 15000,
                            "max_retry_after_ms": 2000},
                 "rules": {"must_ask_in_ms": 10000, "stop_sending_within_ms": 1000}}
-    return {"name": "n0", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{discovery}", "seed": "7",
+    return {"name": "n0", "listen": "127.0.0.1:1", "discovery": f"127.0.0.1:{discovery}", "seed": "7",
             "limits": {"memory_mb": 64, "sockets": 256}, "known": {"seq": 1, "whole": True, "hosts": hosts},
             "settings": settings, **more}
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -17,7 +17,7 @@
 from plumrack import server as server_module
 from plumrack import sidecar as sidecar_module
 
-from .net import OK, Discovery, Endpoint, Writer, configuration, host, look, pay, read_message, rig
+from .net import OK, Discovery, Endpoint, Writer, configuration, host, look, pay, read_message, rig, unused
 
 ROOT = Path(__file__).parent.parent
 
@@ -266,14 +266,13 @@
     async def test() -> None:
         endpoint = Endpoint()
         late = Discovery([])
-        with socket.create_server(("127.0.0.1", 0)) as place:
-            where = place.getsockname()
+        where = unused()
         async with rig(endpoint) as r:
             late.hosts = [host("e0", endpoint.port)]
             r.sidecar.discovery.move(where)
             head, _ = await r.ask(look())
             assert status(head) == 200
-            await late.start(where[1])
+            await late.start(where)
             await asyncio.wait_for(late.watched.wait(), 2)
         late.server.close()
     run(test())
@@ -288,10 +287,10 @@
         await first.start()
         second = Discovery(hosts)
         await second.start()
-        with socket.create_server(("127.0.0.1", 0)) as place:
-            port = place.getsockname()[1]
+        where = unused()
+        listen = "{}:{}".format(*where)
         path = tmp_path / "config.json"
-        path.write_text(json.dumps(configuration(hosts, first.port, port)))
+        path.write_text(json.dumps(configuration(hosts, first.port, listen=listen)))
         process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "plumrack", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
             env={**os.environ, "BALANCER_CONFIG": str(path), "BALANCER_DISCOVERY": f"127.0.0.1:{first.port}"})
@@ -301,10 +300,10 @@
             process.send_signal(signal.SIGHUP)
             assert process.stderr
             assert b"reload" in await asyncio.wait_for(process.stderr.readline(), 5)
-            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            reader, writer = await asyncio.open_connection(*where)
             writer.write(look())
             assert status((await read_message(reader))[0]) == 200
-            path.write_text(json.dumps(configuration(hosts, second.port, port)))
+            path.write_text(json.dumps(configuration(hosts, second.port, listen=listen)))
             process.send_signal(signal.SIGHUP)
             await asyncio.wait_for(second.watched.wait(), 5)
             writer.write(look("a2"))
