A request that finds no server asks for the list at once, where it is still that of the start

The trace: the restarted sidecar knew three of six endpoints, all full, and refused 683 of 1,368 requests in 1.75 s, until its first watch told it of the three that had come in the 3 s it was away.

Fault: brain._news sets a random timer of up to 0.3 of must_ask_in_ms (3 s) before the first watch, so that a wave of restarts doesn't crowd the list service, and nothing in need brought it forward.

Ruled out: from 10 to 13.5 s, with three or four endpoints, each of them turned half of its attempts away, the cold ones too: true overload. The 3 to 5% that fail at 16 s come in 0.3 s in which neither sidecar runs.

Now the first request that finds no server makes the module ask, once; after a failed watch the growing waits hold as before, and the timer of the start no longer asks a second time. An unknown or empty list is asked for with the first request too.

Tests over loopback sockets and of the module; both fail without the change.

--- a/spokespoke/brain.py
+++ b/spokespoke/brain.py
@@ -41,7 +41,8 @@
         self.ready: list[Server] = []
         self.levels: list[list[Server]] = [[] for _ in range(LEVELS)]
         self.gaps = [log1p(-(0.5 ** k)) if k else 0.0 for k in range(LEVELS)]
-        self.total, self.floor, self.watch_fails = 0.0, 0.01, 0
+        self.total, self.floor = 0.0, 0.01
+        self.watching, self.watch_fails = False, 0
         self.work: dict[int, Work] = {}
         self.full, self.room, self.room_at = 0.0, ROOM_MOST, 0.0
         self.ring: list[tuple[int, Server]] = []
@@ -67,6 +68,7 @@
 
     def _news(self, news: ListNews) -> None:
         if news.kind == ListKind.FAILED:
+            self.watching = False
             self.watch_fails += 1
             top = min(500.0 * 2 ** self.watch_fails, self.s.must_ask_in_ms / 2)
             self.acts.append(SetTimer(WATCH, top * (0.5 + self.rnd() / 2)))
@@ -91,6 +93,22 @@
             # A restart wave must not become a stampede on the list service.
             self.acts.append(SetTimer(WATCH, self.rnd() * self.s.must_ask_in_ms * 0.3))
 
+    def _watch(self) -> None:
+        if not self.watching:
+            self.watching = True
+            self.acts.append(Watch(True))
+
+    def _fell_short(self) -> None:
+        """A request finds no server: where the list is still that of the start, ask what has come since.
+
+        Of a list written in the middle of a release half may be gone and half be missing, and each moment of
+        waiting is paid in refusals.  It guards as well against a list that is empty or of another day.  Each
+        client asks early only once, and after a failure its growing waits hold; so this could do harm only
+        where many start at once under overload, and some wait longer for the list than they would.
+        """
+        if self.s.must_ask and not self.watch_fails:
+            self._watch()
+
     def _entry(self, entry: Endpoint) -> None:
         server = self.servers.get(entry.endpoint)
         if server is None:
@@ -299,6 +317,7 @@
         if server is None:
             if work.home:
                 return self._end(work)
+            self._fell_short()
             # It has been to all that take work: after a wait for a free place it may ask them again.
             work.round = tries
             return self._hold(work, self.service[work.cls])
@@ -368,6 +387,7 @@
 
     def _end(self, work: Work) -> None:
         """The final answer: a refusal only where a repeat does no harm, a failure otherwise."""
+        self._fell_short()
         settings = self.s.classes[work.cls]
         harmless = not (work.maybe_ran or work.out) or settings.effect is Effect.SAFE or (
             settings.effect is Effect.KEYED and settings.scope is Scope.ALL)
@@ -386,8 +406,7 @@
 
     def _timer(self, event: TimerFired) -> None:
         if event.token == WATCH:
-            self.acts.append(Watch(True))
-            return
+            return self._watch()
         work = self.work.get(event.token - HOLD)
         if work and not work.out:
             self._try(work)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -154,6 +154,20 @@
     assert balancer.handle(1.0, AttemptEnded(77, 0, 1, 5.0, Outcome.TIMEOUT, True)) == []
 
 
+def test_a_request_without_a_server_asks_for_the_list_once() -> None:
+    balancer = Balancer(settings(must_ask=True, must_ask_in_ms=10000.0), 3)
+    (timer,) = balancer.handle(0.0, ListNews(ListKind.CACHED, 1, ()))
+    assert isinstance(timer, SetTimer)
+    seen = [a for n in range(5) for a in balancer.handle(1.0 + n, Request(n + 1, 0, 1000.0))]
+    assert seen.count(Watch(True)) == 1
+    assert balancer.handle(timer.delay_ms, TimerFired(timer.token)) == []
+    (again,) = balancer.handle(9000.0, ListNews(ListKind.FAILED, 0, ()))
+    assert isinstance(again, SetTimer)
+    seen = balancer.handle(9001.0, Request(9, 0, 1000.0))
+    assert Watch(True) not in seen
+    assert balancer.handle(9000.0 + again.delay_ms, TimerFired(again.token)) == [Watch(True)]
+
+
 def test_a_failed_watch_is_asked_for_again_with_growing_waits() -> None:
     balancer = Balancer(settings(must_ask=True, must_ask_in_ms=10000.0), 3)
     (timer,) = balancer.handle(0.0, fleet(5))
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -278,6 +278,30 @@
     run(test())
 
 
+def test_what_has_come_since_the_list_in_hand_is_asked_for_as_soon_as_it_is_needed() -> None:
+    """Started in the middle of a release: all that the old list names is full, and more has come since."""
+    async def test() -> None:
+        async def full(_: bytes, writer: Writer) -> None:
+            writer.write(NOT_RUN)
+
+        old, new = Endpoint(full), Endpoint()
+        await old.start()
+        await new.start()
+        hosts = [host("old", old.port), host("new", new.port)]
+        conf = configuration(hosts[:1], 1)
+        conf["settings"]["rules"]["must_ask_in_ms"] = 3.6e6  # so it is not yet due of itself
+        discovery = Discovery(hosts, seq=2)
+        async with rig(discovery=discovery, known=conf["known"], settings=conf["settings"]) as r:
+            assert status((await r.ask(look("before")))[0]) in (200, 503)
+            await asyncio.wait_for(discovery.watched.wait(), 5)
+            while not new.seen:
+                await r.ask(look(f"r{len(old.seen)}"))
+            assert discovery.asked == [b"GET /catalog/members?watch=1&from=1 HTTP/1.1"]
+        old.server.close()
+        new.server.close()
+    run(test())
+
+
 def test_sighup_reloads_and_an_unreadable_file_changes_nothing(tmp_path: Path) -> None:
     async def test() -> None:
         endpoint, first = Endpoint(), Discovery([])
