Failed watches are asked for again sooner, and soon while requests find no server

Cause: there the watch breaks just as a change is told, about every second time, and so do the ones after it (logs: 9 breaks in 8 s). The module waited 0.5 to 1 s after the first, doubling to 5 s: three in a row are 7 s with an old list, in which half of the endpoints had gone and the new ones were unknown. Fault: the waits in brain._news.

Now the first try comes after 0.13 to 0.25 s, doubling to the same limit, and while requests find no server the wait stays under 1 s.

Tests over loopback sockets (watches that break five times) and of the module; they fail without the change.

--- a/spokespoke/brain.py
+++ b/spokespoke/brain.py
@@ -24,6 +24,7 @@
 HEARD = 1 / 3                    # so many units after an answer a break is no sign of death
 PACE, TURNED_AWAY = 0.16, 0.5    # step of the share let in; the part of its attempts that may find no place
 ROOM_LEAST, ROOM_MOST = 0.1, 1.5  # its bounds: never shut, and full again soon after
+AGAIN, IN_NEED = 125.0, 1000.0   # half the first wait after a failed watch; the longest while in need
 LEVELS = 14                      # levels of c, each half of the one before
 BROKE = (Outcome.CONNECT_FAILED, Outcome.RESET)
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
@@ -42,7 +43,7 @@
         self.levels: list[list[Server]] = [[] for _ in range(LEVELS)]
         self.gaps = [log1p(-(0.5 ** k)) if k else 0.0 for k in range(LEVELS)]
         self.total, self.floor = 0.0, 0.01
-        self.watching, self.watch_fails = False, 0
+        self.watching, self.watch_fails, self.watch_from = False, 0, 0.0
         self.work: dict[int, Work] = {}
         self.full, self.room, self.room_at = 0.0, ROOM_MOST, 0.0
         self.ring: list[tuple[int, Server]] = []
@@ -70,8 +71,10 @@
         if news.kind == ListKind.FAILED:
             self.watching = False
             self.watch_fails += 1
-            top = min(500.0 * 2 ** self.watch_fails, self.s.must_ask_in_ms / 2)
-            self.acts.append(SetTimer(WATCH, top * (0.5 + self.rnd() / 2)))
+            part = 0.5 + self.rnd() / 2
+            wait = min(AGAIN * 2 ** min(20, self.watch_fails), self.s.must_ask_in_ms / 2)
+            self.watch_from = self.now + part * min(wait, IN_NEED)
+            self.acts.append(SetTimer(WATCH, part * wait))
             return
         self.watch_fails = 0
         if news.kind != ListKind.CHANGES:
@@ -99,14 +102,16 @@
             self.acts.append(Watch(True))
 
     def _fell_short(self) -> None:
-        """A request finds no server: where the list is still that of the start, ask what has come since.
-
-        Of a list written in the middle of a release half may be gone and half be missing, and each moment of
-        waiting is paid in refusals.  It guards as well against a list that is empty or of another day.  Each
-        client asks early only once, and after a failure its growing waits hold; so this could do harm only
-        where many start at once under overload, and some wait longer for the list than they would.
+        """A request finds no server: where the list is not followed, ask now what has come since.
+
+        Of a list written in the middle of a release half may soon be gone and half be missing, and each
+        moment of waiting is paid in refusals: after a start, which waits so that a wave of restarts doesn't
+        crowd the list service, and after failed watches, with their growing waits.  Watches break by
+        themselves too, just when there is news.  It guards as well against a list that is empty or of another
+        day.  It could do harm where the list service fails under its own load while servers are short, so it
+        leaves a while after each failure.
         """
-        if self.s.must_ask and not self.watch_fails:
+        if self.s.must_ask and self.now >= self.watch_from:
             self._watch()
 
     def _entry(self, entry: Endpoint) -> None:
--- a/tests/net.py
+++ b/tests/net.py
@@ -56,6 +56,7 @@
 
     def __init__(self, hosts: list[dict[str, Any]], seq: int = 1) -> None:
         self.hosts, self.seq = hosts, seq
+        self.breaks = 0               # watches that still break off before they say anything
         self.asked: list[bytes] = []
         self.watched = asyncio.Event()
 
@@ -69,7 +70,10 @@
             while True:
                 head, _ = await read_message(reader)
                 self.asked.append(head.split(b"\r\n")[0])
-                if b"watch=1" in head:
+                if b"watch=1" in head and self.breaks:
+                    self.breaks -= 1
+                    writer.close()
+                elif b"watch=1" in head:
                     writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n"
                                  % (len(line), line))
                     self.watched.set()
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -154,7 +154,7 @@
     assert balancer.handle(1.0, AttemptEnded(77, 0, 1, 5.0, Outcome.TIMEOUT, True)) == []
 
 
-def test_a_request_without_a_server_asks_for_the_list_once() -> None:
+def test_a_request_without_a_server_asks_for_the_list() -> None:
     balancer = Balancer(settings(must_ask=True, must_ask_in_ms=10000.0), 3)
     (timer,) = balancer.handle(0.0, ListNews(ListKind.CACHED, 1, ()))
     assert isinstance(timer, SetTimer)
@@ -163,11 +163,22 @@
     assert balancer.handle(timer.delay_ms, TimerFired(timer.token)) == []
     (again,) = balancer.handle(9000.0, ListNews(ListKind.FAILED, 0, ()))
     assert isinstance(again, SetTimer)
-    seen = balancer.handle(9001.0, Request(9, 0, 1000.0))
-    assert Watch(True) not in seen
+    assert Watch(True) not in balancer.handle(9001.0, Request(9, 0, 1000.0))
     assert balancer.handle(9000.0 + again.delay_ms, TimerFired(again.token)) == [Watch(True)]
 
 
+def test_after_failed_watches_a_request_without_a_server_does_not_wait_for_the_longest() -> None:
+    balancer = Balancer(settings(must_ask=True, must_ask_in_ms=10000.0), 3)
+    balancer.handle(0.0, ListNews(ListKind.CACHED, 1, ()))
+    for _ in range(8):
+        (again,) = balancer.handle(9000.0, ListNews(ListKind.FAILED, 0, ()))
+    assert isinstance(again, SetTimer)
+    assert again.delay_ms > 2000
+    assert Watch(True) not in balancer.handle(9100.0, Request(1, 0, 1000.0))
+    assert Watch(True) in balancer.handle(10001.0, Request(2, 0, 1000.0))
+    assert Watch(True) not in balancer.handle(10002.0, Request(3, 0, 1000.0))
+
+
 def test_a_failed_watch_is_asked_for_again_with_growing_waits() -> None:
     balancer = Balancer(settings(must_ask=True, must_ask_in_ms=10000.0), 3)
     (timer,) = balancer.handle(0.0, fleet(5))
@@ -175,10 +186,11 @@
     assert timer.delay_ms < 5000
     assert balancer.handle(timer.delay_ms, TimerFired(timer.token)) == [Watch(True)]
     waits = []
-    for _ in range(6):
+    for _ in range(8):
         (again,) = balancer.handle(9000.0, ListNews(ListKind.FAILED, 0, ()))
         assert isinstance(again, SetTimer)
         waits.append(again.delay_ms)
+    assert waits[0] <= 250
     assert min(waits[3:]) > 2 * waits[0]
     assert max(waits) <= 5000
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -278,8 +278,12 @@
     run(test())
 
 
-def test_what_has_come_since_the_list_in_hand_is_asked_for_as_soon_as_it_is_needed() -> None:
-    """Started in the middle of a release: all that the old list names is full, and more has come since."""
+@pytest.mark.parametrize("breaks", [0, 5])
+def test_what_has_come_since_the_list_in_hand_is_asked_for_as_soon_as_it_is_needed(breaks: int) -> None:
+    """Started in the middle of a release: all that the old list names is full, and more has come since.
+
+    The waits after failed watches may grow to hours here, but not while servers are short.
+    """
     async def test() -> None:
         async def full(_: bytes, writer: Writer) -> None:
             writer.write(NOT_RUN)
@@ -289,14 +293,17 @@
         await new.start()
         hosts = [host("old", old.port), host("new", new.port)]
         conf = configuration(hosts[:1], 1)
-        conf["settings"]["rules"]["must_ask_in_ms"] = 3.6e6  # so it is not yet due of itself
+        conf["settings"]["rules"]["must_ask_in_ms"] = 3.6e6
         discovery = Discovery(hosts, seq=2)
+        discovery.breaks = breaks
         async with rig(discovery=discovery, known=conf["known"], settings=conf["settings"]) as r:
-            assert status((await r.ask(look("before")))[0]) in (200, 503)
-            await asyncio.wait_for(discovery.watched.wait(), 5)
-            while not new.seen:
-                await r.ask(look(f"r{len(old.seen)}"))
-            assert discovery.asked == [b"GET /catalog/members?watch=1&from=1 HTTP/1.1"]
+            names = iter(range(10**6))
+            async with asyncio.timeout(10):
+                while not discovery.watched.is_set():
+                    assert status((await r.ask(look(f"r{next(names)}")))[0]) in (200, 503)
+                while not new.seen:
+                    await r.ask(look(f"r{next(names)}"))
+            assert discovery.asked == [b"GET /catalog/members?watch=1&from=1 HTTP/1.1"] * (1 + breaks)
         old.server.close()
         new.server.close()
     run(test())
