--- a/plumrack/__main__.py
+++ b/gateusher/__main__.py
@@ -11,9 +11,9 @@
 
 import uvloop
 
-from . import config
-from .log import say
-from .sidecar import Sidecar
+from .config import platform as config
+from .base.log import say
+from .daemon import Sidecar
 
 
 def reload(sidecar: Sidecar, env: Mapping[str, str]) -> None:
--- a/plumrack/log.py
+++ b/gateusher/base/log.py
@@ -26,7 +26,7 @@
         dropped = f" ({self._dropped} lines left out)" if self._dropped else ""
         self._dropped = 0
         with suppress(OSError, ValueError):  # where nobody reads the log any more, serving goes on
-            print(f"plumrack: {what}: {why}{dropped}", file=sys.stderr, flush=True)
+            print(f"gateusher: {what}: {why}{dropped}", file=sys.stderr, flush=True)
 
 
 say = _Log().say
--- a/plumrack/config.py
+++ b/gateusher/config/platform.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from spokespoke.adapter import SettingsError, parse_settings
-from spokespoke.interface import Settings
+from ..simulator.adapter import SettingsError, parse_settings
+from ..policy.interface import Settings
 
 
 class ConfigError(ValueError):
--- a/plumrack/engine.py
+++ b/gateusher/core/engine.py
@@ -7,18 +7,18 @@
 from collections import deque
 from typing import TYPE_CHECKING, Protocol
 
-from spokespoke import Balancer
-from spokespoke.interface import (Action, AttemptEnded, Cancel, CloseIdle, Departed, Effect, Event, Fail,
+from ..policy import Balancer
+from ..policy.interface import (Action, AttemptEnded, Cancel, CloseIdle, Departed, Effect, Event, Fail,
                                   Outcome, Probe, Probed, Refuse, Request, Send, SetTimer, Settings,
                                   TimerFired, Watch)
 
-from .clock import Clock
-from .limits import Bytes
-from .log import say
+from ..base.clock import Clock
+from ..base.limits import Bytes
+from ..base.log import say
 
 if TYPE_CHECKING:
-    from .discovery import Discovery
-    from .upstream import Attempt, Upstream
+    from ..discovery.catalog import Discovery
+    from ..upstream.http import Attempt, Upstream
 
 COME_BACK_MS = 250.0  # what a refusal advises where the module wishes nothing
 OVERDUE_MS = 10.0  # how long after its deadline a request that the module still holds is failed
--- a/plumrack/sidecar.py
+++ b/gateusher/daemon.py
@@ -4,14 +4,14 @@
 
 import asyncio
 
-from .clock import Clock
-from .config import Config
-from .discovery import Discovery
-from .engine import Engine
-from .limits import Bytes, Descriptors
-from .reports import reader
-from .server import END_S, Server
-from .upstream import Upstream
+from .base.clock import Clock
+from .config.platform import Config
+from .discovery.catalog import Discovery
+from .core.engine import Engine
+from .base.limits import Bytes, Descriptors
+from .upstream.reports import reader
+from .listeners.http import END_S, Server
+from .upstream.http import Upstream
 
 SWEEP_S, DRAIN_STEP_S = 0.1, 0.02
 GIVE_UP_S = 3.6     # after SIGTERM: SIGKILL comes 3.7 s after it at the earliest
--- a/plumrack/discovery.py
+++ b/gateusher/discovery/catalog.py
@@ -10,10 +10,10 @@
 from typing import Any, NamedTuple, cast
 
 import httptools
-from spokespoke.interface import Endpoint, ListKind, ListNews, State
+from ..policy.interface import Endpoint, ListKind, ListNews, State
 
-from .config import Names, address
-from .log import say
+from ..config.platform import Names, address
+from ..base.log import say
 
 STATES = {"Ready": State.READY, "Terminating": State.DRAINING, "Gone": State.GONE}
 FIRST_S = 6.0        # how long a call may take until its first bytes
--- a/plumrack/server.py
+++ b/gateusher/listeners/http.py
@@ -12,12 +12,12 @@
 from typing import cast
 
 import httptools
-from spokespoke.interface import Effect
+from ..policy.interface import Effect
 
-from .config import Names
-from .engine import Call, Engine
-from .limits import Bytes, Descriptors
-from .log import say
+from ..config.platform import Names
+from ..core.engine import Call, Engine
+from ..base.limits import Bytes, Descriptors
+from ..base.log import say
 
 MOST_HEAD = 32768            # bytes of a request's header block
 MOST_BODY = 65536            # bytes of a request's body
--- a/spokespoke/adapter.py
+++ b/gateusher/simulator/adapter.py
@@ -9,8 +9,9 @@
 from typing import Any, BinaryIO
 
 from . import wire
-from .brain import Balancer
-from .interface import ClassSettings, Effect, Endpoint, Event, ListKind, ListNews, Prices, Scope, Settings
+from ..policy.brain import Balancer
+from ..policy.interface import (ClassSettings, Effect, Endpoint, Event, ListKind, ListNews, Prices, Scope,
+                                Settings)
 
 _EFFECTS = {"idempotent": Effect.SAFE, "deduplicated": Effect.KEYED, "at_most_once": Effect.UNSAFE}
 _PRICES = ("cross_zone", "probe", "waste", "handshake", "connection", "late_fail")
@@ -157,7 +158,7 @@
             sink.write(host.answer(frame))
             sink.flush()
     except (wire.FrameError, KeyError, ValueError) as error:
-        print(f"spokespoke: malformed input: {error}", file=sys.stderr)
+        print(f"gateusher: malformed input: {error}", file=sys.stderr)
         return 1
     return 0
 
--- a/spokespoke/wire.py
+++ b/gateusher/simulator/wire.py
@@ -6,9 +6,9 @@
 from collections.abc import Callable
 from typing import BinaryIO
 
-from .interface import (Action, AttemptEnded, Cancel, CloseIdle, Departed, Endpoint, Event, Fail, Heard,
-                        Outcome, Probe, Probed, Refuse, Request, Send, SetTimer, State, StreamBegan,
-                        TimerFired, Watch)
+from ..policy.interface import (Action, AttemptEnded, Cancel, CloseIdle, Departed, Endpoint, Event, Fail,
+                                Heard, Outcome, Probe, Probed, Refuse, Request, Send, SetTimer, State,
+                                StreamBegan, TimerFired, Watch)
 
 BATCH = struct.Struct(">IIId")
 REPLY = struct.Struct(">III")
--- a/plumrack/upstream.py
+++ b/gateusher/upstream/http.py
@@ -11,13 +11,13 @@
 from typing import cast
 
 import httptools
-from spokespoke.interface import Outcome, Settings, State
+from ..policy.interface import Outcome, Settings, State
 
-from .clock import Clock
-from .discovery import HostLine
-from .engine import Call, Engine
-from .limits import Bytes, Descriptors
-from .log import say
+from ..base.clock import Clock
+from ..discovery.catalog import HostLine
+from ..core.engine import Call, Engine
+from ..base.limits import Bytes, Descriptors
+from ..base.log import say
 
 MOST_BODY = 65536       # an answer's body
 MOST_HEAD = 65536       # an answer's header block
--- a/plumrack/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""plumrack: the real sidecar, real sockets around the decisions of spokespoke."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,8 +1,8 @@
 """Small builders for the tests."""
 
-from spokespoke.brain import Balancer
-from spokespoke.interface import (AttemptEnded, ClassSettings, Effect, Endpoint, ListKind, ListNews, Outcome,
-                                  Scope, Settings, State)
+from gateusher.policy.brain import Balancer
+from gateusher.policy.interface import (AttemptEnded, ClassSettings, Effect, Endpoint, ListKind, ListNews,
+                                        Outcome, Scope, Settings, State)
 
 
 def settings(effect: Effect = Effect.SAFE, scope: Scope = Scope.ALL, **more: object) -> Settings:
--- a/tests/net.py
+++ b/tests/net.py
@@ -8,8 +8,8 @@
 from dataclasses import replace
 from typing import Any
 
-from plumrack import config
-from plumrack.sidecar import Sidecar
+from gateusher.config import platform as config
+from gateusher.daemon import Sidecar
 
 Reader, Writer = asyncio.StreamReader, asyncio.StreamWriter
 Handler = Callable[[bytes, Writer], Awaitable[None]]
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -8,10 +8,10 @@
 
 import pytest
 
-from spokespoke import brain
-from spokespoke.brain import Balancer
-from spokespoke.interface import (AttemptEnded, Departed, Effect, Fail, ListKind, ListNews, Outcome, Refuse,
-                                  Request, Scope, Send, SetTimer, State, TimerFired, Watch)
+from gateusher.policy import brain
+from gateusher.policy.brain import Balancer
+from gateusher.policy.interface import (AttemptEnded, Departed, Effect, Fail, ListKind, ListNews, Outcome,
+                                        Refuse, Request, Scope, Send, SetTimer, State, TimerFired, Watch)
 
 from .helpers import ended, entry, fleet, settings, started
 
@@ -288,7 +288,7 @@
 
 
 def test_the_module_stays_small_and_names_no_deployment() -> None:
-    lines = (ROOT / "spokespoke" / "brain.py").read_text().splitlines()
+    lines = (ROOT / "gateusher" / "policy" / "brain.py").read_text().splitlines()
     assert sum(bool(line.strip()) for line in lines) <= 1200
     assert max(map(len, lines)) <= 110
     assert "interface.py" in lines[0]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -4,9 +4,10 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
-from spokespoke.brain import Balancer
-from spokespoke.interface import (AttemptEnded, Departed, Effect, Fail, ListKind, ListNews, Outcome, Probe,
-                                  Probed, Refuse, Request, Scope, Send, SetTimer, State, TimerFired, Watch)
+from gateusher.policy.brain import Balancer
+from gateusher.policy.interface import (AttemptEnded, Departed, Effect, Fail, ListKind, ListNews, Outcome,
+                                        Probe, Probed, Refuse, Request, Scope, Send, SetTimer, State,
+                                        TimerFired, Watch)
 
 from .helpers import entry, settings
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -14,9 +14,9 @@
 import pytest
 import uvloop
 
-from plumrack import server as server_module
-from plumrack import sidecar as sidecar_module
-from plumrack import upstream as upstream_module
+from gateusher.listeners import http as server_module
+from gateusher import daemon as sidecar_module
+from gateusher.upstream import http as upstream_module
 
 from .net import OK, Discovery, Endpoint, Writer, configuration, host, look, pay, read_message, rig, unused
 
@@ -328,7 +328,7 @@
         path = tmp_path / "config.json"
         path.write_text(json.dumps(configuration(hosts, first.port, listen=listen)))
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "plumrack", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+            sys.executable, "-m", "gateusher", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
             env={**os.environ, "BALANCER_CONFIG": str(path), "BALANCER_DISCOVERY": f"127.0.0.1:{first.port}"})
         try:
             await asyncio.wait_for(first.watched.wait(), 10)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from spokespoke import adapter, wire
-from spokespoke.interface import (Cancel, Fail, Outcome, Probe, Refuse, Send, SetTimer, State, Watch)
+from gateusher.simulator import adapter, wire
+from gateusher.policy.interface import (Cancel, Fail, Outcome, Probe, Refuse, Send, SetTimer, State, Watch)
 
 ABOUT = bytes.fromhex("09 00000003") + bytes(43)
 CONF = {"lanes": [{"effect": "idempotent", "objective_ms": 500, "give_up_ms": 1000, "worth": 1}]}
@@ -20,7 +20,7 @@
 
 
 def serve(data: bytes) -> subprocess.CompletedProcess[bytes]:
-    return subprocess.run([sys.executable, "-m", "spokespoke.adapter"], input=data,
+    return subprocess.run([sys.executable, "-m", "gateusher.simulator.adapter"], input=data,
                           capture_output=True, timeout=60)
 
 
