--- a/gateusher/__init__.py
+++ b/gateusher/__init__.py
@@ -1,1 +1,40 @@
-"""gateusher: a sidecar load balancer, real sockets around the decisions of its policy."""
+"""gateusher: a load balancer beside or inside each client that holds through failures and never issues twice.
+
+The public names below are the library; `python -m gateusher` is the daemon.  Everything else may change.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from .client import Answer as Answer
+    from .client import Budget as Budget
+    from .client import Conflict as Conflict
+    from .client import DeadlineExceeded as DeadlineExceeded
+    from .client import Failed as Failed
+    from .client import Gateway as Gateway
+    from .client import GatewayError as GatewayError
+    from .client import InvalidRequest as InvalidRequest
+    from .client import Refused as Refused
+    from .client import Settled as Settled
+    from .client import Unusable as Unusable
+    from .config.model import Config as Config
+    from .config.model import ConfigError as ConfigError
+
+__version__ = "0.2.0"
+__all__ = ["Answer", "Budget", "Config", "ConfigError", "Conflict", "DeadlineExceeded", "Failed", "Gateway",
+           "GatewayError", "InvalidRequest", "Refused", "Settled", "Unusable"]
+
+
+def __getattr__(name: str) -> object:
+    """The public names load with their first use: the daemon starts without the library."""
+    if name in ("Config", "ConfigError"):
+        from .config import model  # noqa: PLC0415
+
+        return getattr(model, name)
+    if name in __all__:
+        from . import client  # noqa: PLC0415
+
+        return getattr(client, name)
+    raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
--- /dev/null
+++ b/gateusher/cli/run.py
@@ -0,0 +1,69 @@
+"""`gateusher run`: the daemon, its signals and its exit code: 0 after a drain, 2 for an unusable configuration."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import signal
+from collections.abc import Mapping
+
+import uvloop
+
+from ..base.log import say
+from ..config import platform
+from ..config.model import Config, ConfigError
+from ..daemon import Sidecar
+
+
+def load(path: str | None, env: Mapping[str, str]) -> Config:
+    """A TOML file where one is named, the platform's JSON otherwise."""
+    if path is None:
+        return platform.load(env)
+    from ..config.file import load as load_file  # noqa: PLC0415 - the platform's daemon needs none of it
+
+    return load_file(path)
+
+
+def reload(sidecar: Sidecar, path: str | None, env: Mapping[str, str]) -> None:
+    """SIGHUP: take up the file as it is now.  One that can't be used leaves all as it was.
+
+    The file wins over BALANCER_DISCOVERY here, which still says what held at the start.  Whatever goes wrong
+    with a new file, the old configuration serves on; that could hide a mistake, so it is logged.
+    """
+    try:
+        config = load(path, {k: v for k, v in env.items() if k != "BALANCER_DISCOVERY"})
+    except ConfigError as error:
+        say("reload: the old configuration stays", error)
+        return
+    sidecar.follow(config)
+
+
+async def _run(config: Config, path: str | None) -> int:
+    loop = asyncio.get_running_loop()
+    try:
+        sidecar = Sidecar(config)
+    except OSError as error:
+        say("listen", error)
+        return 2
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, sidecar.drain)
+    loop.add_signal_handler(signal.SIGHUP, reload, sidecar, path, os.environ)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+    gc.freeze()
+    gc.set_threshold(20000, 20, 50)
+    await sidecar.ended.wait()
+    return 0
+
+
+def run(path: str | None) -> int:
+    """Serve until a signal ends it."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})  # one that comes before we are up waits
+    try:
+        config = load(path, os.environ)
+    except ConfigError as error:
+        for fault in error.faults:
+            say("configuration", fault)
+        return 2
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(_run(config, path))
--- /dev/null
+++ b/gateusher/config/model.py
@@ -0,0 +1,82 @@
+"""What a running gateusher is made from, whatever it was read from."""
+
+from __future__ import annotations
+
+import ipaddress
+from dataclasses import dataclass
+from hashlib import blake2b
+from typing import Any
+
+from ..policy.interface import Effect, Settings
+
+OK_ONLY = frozenset({200})
+# Outside the platform a node's 4xx is an answer like another; 5xx are failures that may have run.
+APPLICATION = frozenset(range(200, 500))
+
+
+class ConfigError(ValueError):
+    """The configuration can't be used; `faults` says each on a line, with the field's path and what is allowed."""
+
+    def __init__(self, *faults: str) -> None:
+        super().__init__("; ".join(faults))
+        self.faults = faults
+
+
+@dataclass(frozen=True, slots=True)
+class Names:
+    """Indexes of the settings' names; a zone or kind that they don't name takes the spare index."""
+
+    classes: dict[bytes, int]
+    tenants: dict[bytes, int]
+    zones: dict[str, int]
+    kinds: dict[str, int]
+
+
+def usual_methods(effect: Effect) -> frozenset[bytes]:
+    """The platform's: the method tells what a repeat would do."""
+    return frozenset({b"GET"} if effect is Effect.SAFE else {b"POST"})
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """All that holds from the start on."""
+
+    name: str
+    listen: tuple[str, int] | None          # None: no listener, as in the library
+    discovery: tuple[str, int] | None       # None: the known list is all there is
+    seed: int
+    memory_mb: float
+    sockets: int
+    most_held: int
+    known: dict[str, Any]                   # the list at the start, in discovery's form
+    settings: Settings
+    names: Names
+    methods: tuple[frozenset[bytes], ...]   # by class
+    serves: frozenset[int] = OK_ONLY        # the statuses that are an endpoint's answer
+    authority: str = "origin.svc"           # the Host of requests that bring none
+    margin_s: float = 0.01                  # what an inherited deadline is cut by
+    drain_s: float = 3.4                    # how long a planned end waits for what is open
+
+
+def address(text: object) -> tuple[str, int]:
+    """IP and port of `ip:port`; ValueError for anything else, as there is no DNS."""
+    if not isinstance(text, str):
+        raise ValueError(f"not an address: {text!r}")
+    host, _, port = text.rpartition(":")
+    host = host.removeprefix("[").removesuffix("]")
+    ipaddress.ip_address(host)
+    if not (port.isascii() and port.isdigit() and 0 < int(port) < 65536):
+        raise ValueError(f"not a port: {port!r}")
+    return host, int(port)
+
+
+def key_of(query: bytes) -> int:
+    """The number of what a request is about: a hash that every sidecar computes alike; 0 for none."""
+    for part in query.split(b"&"):
+        if part.startswith(b"obj="):
+            return key_number(part[4:])
+    return 0
+
+
+def key_number(key: bytes) -> int:
+    return int.from_bytes(blake2b(key, digest_size=8).digest(), "big") or 1
--- a/gateusher/core/engine.py
+++ b/gateusher/core/engine.py
@@ -1,69 +1,165 @@
-"""The only caller of the decision module: events in, actions out, one final answer for each request."""
+"""The only caller of the decision module: events in, actions out, one final answer for each request.
+
+A face (a listener, the library) hands in a `Call` by `take` and is told its `Final`, once, through the call's
+`client`.  Everything between the two is here: the deadline, the attempts, what a refusal may promise, and when
+the request's bytes and id are given back.
+"""
 
 from __future__ import annotations
 
-import asyncio
 import traceback
 from collections import deque
-from typing import TYPE_CHECKING, Protocol
-
-from ..policy import Balancer
-from ..policy.interface import (Action, AttemptEnded, Cancel, CloseIdle, Departed, Effect, Event, Fail,
-                                  Outcome, Probe, Probed, Refuse, Request, Send, SetTimer, Settings,
-                                  TimerFired, Watch)
+from collections.abc import Callable
+from enum import Enum
+from typing import NamedTuple, Protocol
 
 from ..base.clock import Clock
 from ..base.limits import Bytes
 from ..base.log import say
-
-if TYPE_CHECKING:
-    from ..discovery.catalog import Discovery
-    from ..upstream.http import Attempt, Upstream
+from ..policy import Balancer
+from ..policy.interface import (Action, AttemptEnded, Cancel, CloseIdle, Departed, Effect, Event, Fail, Outcome,
+                                Probe, Probed, Refuse, Request, Send, SetTimer, Settings, TimerFired, Watch)
+from ..upstream.interface import Attempt, Headers, Message, Reply, Sender
 
 COME_BACK_MS = 250.0  # what a refusal advises where the module wishes nothing
 OVERDUE_MS = 10.0  # how long after its deadline a request that the module still holds is failed
+PROBE_MS = 500.0   # how long a probe may take once its connection is up
+NEVER_RAN = frozenset({Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT})
+
+
+class Timer(Protocol):
+    def cancel(self) -> None: ...
+
+
+class Timers(Protocol):
+    """What the core is handed to be woken: `asyncio.AbstractEventLoop.call_later`, or a virtual one."""
+
+    def __call__(self, delay: float, callback: Callable[..., object], /, *args: object) -> Timer: ...
+
+
+class Source(Protocol):
+    """Where the list comes from, as far as the module may start and stop it."""
+
+    def watch(self) -> None: ...
+    def stop(self) -> None: ...
+
+
+class Fault(Enum):
+    """Why a request can't be taken: it has reached no endpoint and never will."""
+
+    PATIENCE = "the deadline is not a number of seconds above 0"
+    ID = "the request id is missing"
+    METHOD = "the method contradicts what the class says of repeats"
+    KEY = "an idempotency key goes with keyed classes, and only with these"
+    BODY = "this method has no body"
+    CONFLICT = "a request with this id is open, or an attempt of it still out"
+
+
+class Ending(Enum):
+    """The kinds of final answer."""
 
+    SERVED = "served"
+    REFUSED = "refused"       # a repeat is harmless
+    FAILED = "failed"         # it may have run, or its class forbids to say otherwise
+    TIMED_OUT = "timed out"   # the same, since time ran out
 
-class Answering(Protocol):
-    """The client's side of a request, as the engine and the attempts see it."""
 
-    def answer(self, call: Call, status: int, retry_after_ms: float = 0.0) -> None: ...
-    def serve(self, call: Call, headers: bytes, body: bytes) -> None: ...
+class Final(NamedTuple):
+    """The one final answer to a request."""
 
+    ending: Ending
+    reply: Reply | None = None      # an endpoint's, where it was served
+    retry_after_ms: float = 0.0     # when to come back, where it was refused
+    may_have_run: bool = False      # whether an endpoint may have begun it, as far as is known
 
-class Call:
-    """One request of the client: from its last byte until it is answered and its attempts are over."""
 
-    __slots__ = ("attempts", "body", "client", "deadline", "head", "keep", "name", "out", "over", "reply",
-                 "rid", "timer", "tries")
+class Asking(Protocol):
+    """The client's side of a request, as the core sees it."""
 
-    def __init__(self, client: Answering, head: bytes, body: bytes | bytearray, keep: bool) -> None:
-        self.client, self.head, self.body = client, head, body
-        self.keep = keep              # the client may send another on its connection
-        self.rid, self.name, self.deadline = 0, b"", 0.0
-        self.tries, self.out = 0, 0   # attempts so far, and those without an outcome
+    def conclude(self, call: Call, final: Final) -> None:
+        """The final answer; called once, unless the client left first.  The core is done with it after that."""
+
+    def settled(self, call: Call) -> None:
+        """Nothing is out for this request any more, whoever has left; called once for each call taken."""
+
+
+class Call(Message):
+    """One request of a client: from its last byte until it is answered and its attempts are over."""
+
+    __slots__ = ("attempts", "client", "cls", "deadline", "key", "keep", "keyed", "last", "name", "over",
+                 "ran", "repeat", "reply", "rid", "served", "tenant", "timer", "tries", "work_ms")
+
+    def __init__(self, client: Asking, method: bytes, target: bytes, headers: Headers, body: bytes | bytearray,
+                 cls: int = 0, name: bytes = b"") -> None:
+        super().__init__(method, target, headers, body)
+        self.client, self.cls, self.name = client, cls, name
+        self.key = self.tenant = 0
+        self.work_ms = 0.0
+        self.keyed = self.repeat = False
+        self.rid, self.deadline = 0, 0.0
+        self.tries = 0
         self.over = False             # answered, or the client has left
-        self.attempts: dict[int, Attempt] = {}
-        self.timer: asyncio.TimerHandle | None = None
-        self.reply: bytes | None = None      # the client connection's own: what is still to be written
+        self.ran = False              # an attempt has ended that may have run
+        self.served = False           # an attempt was answered, whoever still wanted it
+        self.last = Outcome.NOT_SENT  # of the attempt that ended last
+        self.attempts: dict[int, Sent] = {}  # those without an outcome
+        self.timer: Timer | None = None
+        self.keep = True                     # the listener's own: the client may send more on its connection
+        self.reply: bytes | None = None      # the listener's own: what is still to be written
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an endpoint may have begun it: an attempt that ended so, or one whose last byte is out."""
+        return self.ran or any(a.written for a in self.attempts.values())
+
+
+class Sent(Attempt):
+    """An attempt of a call."""
+
+    __slots__ = ("call", "engine", "number")
+
+    def __init__(self, engine: Engine, call: Call, number: int, eid: int, now: float, expires_ms: float) -> None:
+        super().__init__(call, eid, now, expires_ms)
+        self.engine, self.call, self.number = engine, call, number
+
+    def ended(self, outcome: Outcome, report: tuple[float, ...], elapsed_ms: float, reply: Reply) -> None:
+        self.engine.ended(self, outcome, report, elapsed_ms, reply)
+
+
+class Probing(Attempt):
+    """A question how an endpoint is: nobody's request, so it has no final answer."""
+
+    __slots__ = ("engine",)
+    to_any = True
+
+    def __init__(self, engine: Engine, message: Message, eid: int, now: float, expires_ms: float) -> None:
+        super().__init__(message, eid, now, expires_ms)
+        self.engine = engine
+
+    def ended(self, outcome: Outcome, report: tuple[float, ...], elapsed_ms: float, reply: Reply) -> None:
+        self.engine.deliver(Probed(self.eid, elapsed_ms, outcome, report))
 
 
 class Engine:
-    def __init__(self, settings: Settings, seed: int, clock: Clock, most_held: int, memory: Bytes) -> None:
+    """All requests in hand.  `methods` holds the methods that each class may use, in the order of the classes."""
+
+    def __init__(self, settings: Settings, methods: tuple[frozenset[bytes], ...], seed: int, clock: Clock,
+                 timers: Timers, most_held: int, memory: Bytes) -> None:
         self._balancer = Balancer(settings, seed)
-        self._settings, self._clock, self._memory = settings, clock, memory
-        self._loop = asyncio.get_running_loop()
+        self._settings, self._methods, self._clock, self._memory = settings, methods, clock, memory
+        self._call_later = timers
         self._most_held = most_held
         self._events: deque[Event] = deque()
         self._busy = False
         self._next_id = 1
         self._latest = float("inf")   # no deadline is later than this: the process ends then
+        self._timers: set[Timer] = set()  # the module's
         self.calls: dict[int, Call] = {}
-        self._names: set[bytes] = set()   # the clients' own ids of these
-        self.upstream: Upstream
-        self.discovery: Discovery
+        self._names: set[bytes] = set()   # the clients' own ids of these, and of those still being made
+        self.upstream: Sender
+        self.discovery: Source
         self._perform = {Send: self._send, Refuse: self._refuse, Fail: self._fail, Cancel: self._cancel,
-                         SetTimer: self._set_timer, Probe: lambda a: self.upstream.probe(a.endpoint),
+                         SetTimer: self._set_timer, Probe: self._probe,
                          CloseIdle: lambda a: self.upstream.close_idle(a.endpoint), Watch: self._watch}
 
     # -- events
@@ -90,8 +186,7 @@
         except Exception:
             say(f"{type(event).__name__} could not be handled", traceback.format_exc(limit=-3).strip())
 
-    def effect(self, cls: int) -> Effect:
-        return self._settings.classes[cls].effect
+    # -- what a face calls
 
     def holds(self, name: bytes) -> bool:
         """Whether a request with this id is open, or an attempt of it still out.
@@ -100,50 +195,71 @@
         """
         return name in self._names
 
+    def reserve(self, name: bytes) -> bool:
+        """Keep an id for a request that is still being made; False where it is taken."""
+        if not name or name in self._names:
+            return False
+        self._names.add(name)
+        return True
+
+    def unreserve(self, name: bytes) -> None:
+        """Give back an id that `reserve` kept and that no call was taken under."""
+        self._names.discard(name)
+
     def come_back(self, wish_ms: float) -> float:
         """What a refusal advises: the module's wish, or a short wait, within what clients honour."""
         most = self._settings.max_retry_after_ms
         return min(wish_ms or COME_BACK_MS, most) if most > 0 else wish_ms or COME_BACK_MS
 
-    def submit(self, call: Call, cls: int, patience_ms: float, key: int = 0, tenant: int = 0,
-               work_ms: float = 0.0, repeat: bool = False) -> None:
-        """A whole request has come."""
-        if len(self.calls) >= self._most_held:
-            call.over = True
-            self._memory.give(len(call.body))
-            call.body = b""
-            call.client.answer(call, 503)
-            return
-        now = self._clock.now()
+    def take(self, call: Call, patience_ms: float, reserved: bool = False) -> Fault | None:
+        """A whole request has come; it is the core's from here on, its body's bytes too.
+
+        A request with a fault is not taken: it and its bytes stay the caller's, and it is told nothing.
+        `reserved` says that `reserve` has kept its id already.
+        """
+        effect = self._settings.classes[call.cls].effect
+        if not patience_ms > 0:
+            return Fault.PATIENCE
+        if not call.name:
+            return Fault.ID
+        if call.method not in self._methods[call.cls]:
+            # The method says what a repeat would do.  Where it contradicts the class, neither may be trusted.
+            return Fault.METHOD
+        if call.keyed is not (effect is Effect.KEYED):
+            return Fault.KEY
+        if call.body and call.method == b"GET":
+            return Fault.BODY
+        if not reserved and call.name in self._names:
+            return Fault.CONFLICT
         call.rid, self._next_id = self._next_id, self._next_id + 1
+        now = self._clock.now()
         call.deadline = min(now + patience_ms, self._latest)
         self.calls[call.rid] = call
         self._names.add(call.name)
-        call.timer = self._loop.call_later((call.deadline - now + OVERDUE_MS) / 1000, self._overdue, call)
-        self.deliver(Request(call.rid, cls, call.deadline - now, key, tenant, work_ms, repeat))
+        if len(self.calls) > self._most_held:
+            self._conclude(call, Final(Ending.REFUSED, None, self.come_back(0.0)))
+            return None
+        call.timer = self._call_later((call.deadline - now + OVERDUE_MS) / 1000, self._overdue, call)
+        self.deliver(Request(call.rid, call.cls, call.deadline - now, call.key, call.tenant, call.work_ms,
+                             call.repeat))
+        return None
 
     def depart(self, call: Call) -> None:
-        """The client has left: nothing is owed any more; attempts still out report later."""
-        if not call.over:
-            self._finish(call)
-            self._release(call)
-            self.deliver(Departed(call.rid))
+        """The client has left: nothing is owed any more.
 
-    def ended(self, attempt: Attempt, outcome: Outcome, report: tuple[float, ...], elapsed_ms: float,
-              headers: bytes = b"", body: bytes = b"") -> None:
-        """The one outcome of an attempt; the first OK is the client's answer."""
-        call = attempt.call
-        call.out -= 1
-        call.attempts.pop(attempt.number, None)
-        if not call.over and outcome is Outcome.OK:
-            self._finish(call)
-            call.client.serve(call, headers, body)
+        An attempt whose last byte is not out yet is given up, so that it never runs: nobody wants it, and an
+        unsafe one would take effect unseen.  One that may run is read to its end, or to its deadline, so that
+        the module learns from it and its connection lives.  It could harm where clients leave and ask again by
+        habit while dials are slow: each of them then costs a connection.
+        """
+        if call.over:
+            return
+        self._finish(call)
+        self.deliver(Departed(call.rid))
+        for attempt in list(call.attempts.values()):
+            if not attempt.written:
+                self.upstream.give_up(attempt, Outcome.NOT_SENT)
         self._release(call)
-        self.deliver(AttemptEnded(call.rid, attempt.number, attempt.eid, elapsed_ms, outcome, call.over,
-                                  report))
-
-    def probed(self, eid: int, elapsed_ms: float, outcome: Outcome, report: tuple[float, ...]) -> None:
-        self.deliver(Probed(eid, elapsed_ms, outcome, report))
 
     def end_by(self, latest_ms: float) -> None:
         """The process ends then: what is open is failed a little before, and so is what comes later."""
@@ -152,7 +268,38 @@
             if call.timer and not call.over and call.deadline > latest_ms:
                 call.timer.cancel()
                 left = (latest_ms - self._clock.now()) / 1000
-                call.timer = self._loop.call_later(left, self._overdue, call)
+                call.timer = self._call_later(left, self._overdue, call)
+
+    def close(self) -> None:
+        """End at once: what is open gets its final answer, what is out is given up, no timer is left."""
+        for call in list(self.calls.values()):
+            if not call.over:
+                self._conclude(call, self._without_answer(call))
+                self.deliver(Departed(call.rid))
+            for attempt in list(call.attempts.values()):
+                self.upstream.give_up(attempt, Outcome.CANCELLED if attempt.written else Outcome.NOT_SENT)
+        for timer in self._timers:
+            timer.cancel()
+        self._timers.clear()
+
+    # -- outcomes
+
+    def ended(self, attempt: Sent, outcome: Outcome, report: tuple[float, ...], elapsed_ms: float,
+              reply: Reply) -> None:
+        """The one outcome of an attempt; the first OK is the client's answer."""
+        call = attempt.call
+        del call.attempts[attempt.number]
+        call.last = outcome
+        if outcome not in NEVER_RAN:
+            call.ran = True
+        if outcome is Outcome.OK:
+            call.served = True
+            if not call.over:
+                self._finish(call)
+                call.client.conclude(call, Final(Ending.SERVED, reply, 0.0, True))
+        self._release(call)
+        self.deliver(AttemptEnded(call.rid, attempt.number, attempt.eid, elapsed_ms, outcome, call.over,
+                                  report))
 
     # -- the end of a request
 
@@ -163,23 +310,27 @@
             call.timer = None
 
     def _release(self, call: Call) -> None:
-        if call.over and not call.out and call.rid in self.calls:
+        if call.over and not call.attempts and call.rid in self.calls:
             del self.calls[call.rid]
             self._names.discard(call.name)
             self._memory.give(len(call.body))
             call.body = b""
+            call.client.settled(call)
 
-    def _answer(self, request: int, status: int, retry_after_ms: float = 0.0) -> None:
-        call = self.calls.get(request)
-        if call and not call.over:
-            self._finish(call)
-            call.client.answer(call, status, retry_after_ms)
-            self._release(call)
+    def _conclude(self, call: Call, final: Final) -> None:
+        self._finish(call)
+        call.client.conclude(call, final)
+        self._release(call)
+
+    def _without_answer(self, call: Call) -> Final:
+        """Time ran out, or the process ends: a refusal where a repeat is provably harmless is the module's to
+        give, so this is a failure even then, which promises nothing."""
+        return Final(Ending.TIMED_OUT, None, 0.0, call.may_have_run)
 
     def _overdue(self, call: Call) -> None:
         # Exactly one answer is owed, in time, whatever the module does.
         if not call.over:
-            self._answer(call.rid, 504)
+            self._conclude(call, self._without_answer(call))
             self.deliver(Departed(call.rid))
 
     # -- actions
@@ -193,16 +344,22 @@
             call.tries += 1
             expires = min(expires, call.deadline) if expires > 0 else call.deadline
             if not (call.over or number >= self._settings.max_attempts or expires <= now):
-                call.out += 1
-                self.upstream.start(call, number, eid, now, expires)
+                sent = call.attempts[number] = Sent(self, call, number, eid, now, expires)
+                self.upstream.start(sent)
                 return
         self.deliver(AttemptEnded(rid, number, eid, 0.0, Outcome.NOT_SENT, call is None or call.over))
 
     def _refuse(self, action: Refuse) -> None:
-        self._answer(action.request, 503, action.retry_after_ms)
+        call = self.calls.get(action.request)
+        if call and not call.over:
+            self._conclude(call, Final(Ending.REFUSED, None, self.come_back(action.retry_after_ms),
+                                       call.may_have_run))
 
     def _fail(self, action: Fail) -> None:
-        self._answer(action.request, 502)
+        call = self.calls.get(action.request)
+        if call and not call.over:
+            late = call.last is Outcome.TIMEOUT
+            self._conclude(call, Final(Ending.TIMED_OUT if late else Ending.FAILED, None, 0.0, call.may_have_run))
 
     def _cancel(self, action: Cancel) -> None:
         call = self.calls.get(action.request)
@@ -210,8 +367,21 @@
         if call and attempt:
             self.upstream.give_up(attempt, Outcome.CANCELLED)
 
+    def _probe(self, action: Probe) -> None:
+        """Ask an endpoint how it is.  The answer counts as the table of outcomes says."""
+        target = b"/_load" if self.upstream.pulls_reports else b"/ping"
+        now = self._clock.now()
+        wait = PROBE_MS + self._settings.dial_timeout_ms
+        self.upstream.start(Probing(self, Message(b"GET", target, [(b"Host", b"origin.svc")], b""),
+                                    action.endpoint, now, now + wait))
+
     def _set_timer(self, action: SetTimer) -> None:
-        self._loop.call_later(action.delay_ms / 1000, self.deliver, TimerFired(action.token))
+        def fire() -> None:
+            self._timers.discard(timer)
+            self.deliver(TimerFired(action.token))
+
+        timer = self._call_later(action.delay_ms / 1000, fire)
+        self._timers.add(timer)
 
     def _watch(self, action: Watch) -> None:
         if action.enable:
--- a/gateusher/discovery/catalog.py
+++ b/gateusher/discovery/catalog.py
@@ -12,7 +12,7 @@
 import httptools
 from ..policy.interface import Endpoint, ListKind, ListNews, State
 
-from ..config.platform import Names, address
+from ..config.model import Names, address
 from ..base.log import say
 
 STATES = {"Ready": State.READY, "Terminating": State.DRAINING, "Gone": State.GONE}
--- a/gateusher/listeners/http.py
+++ b/gateusher/listeners/http.py
@@ -1,4 +1,7 @@
-"""The application's side: requests in, one answer each out, in order, and the drain before a planned end."""
+"""HTTP/1.1 from the application: requests in, one answer each out, in order, and the drain before a planned end.
+
+Bytes become a `Call` for the core and its `Final` becomes bytes; what is owed to whom is decided there.
+"""
 
 from __future__ import annotations
 
@@ -8,16 +11,15 @@
 import select
 import socket
 from collections import deque
-from hashlib import blake2b
+from http import HTTPStatus
 from typing import cast
 
 import httptools
-from ..policy.interface import Effect
-
-from ..config.platform import Names
-from ..core.engine import Call, Engine
 from ..base.limits import Bytes, Descriptors
 from ..base.log import say
+from ..config.model import Names, key_of
+from ..core.engine import Call, Ending, Engine, Fault, Final
+from ..upstream.interface import HOP, Headers
 
 MOST_HEAD = 32768            # bytes of a request's header block
 MOST_BODY = 65536            # bytes of a request's body
@@ -36,26 +38,14 @@
 CLOSE_NEW_S = 0.65           # connections on which nothing has come by then stay unused
 END_S = 3.4                  # SIGKILL comes 3.7 s after SIGTERM at the earliest
 
-REASONS = {200: b"OK", 400: b"Bad Request", 405: b"Method Not Allowed", 408: b"Request Timeout",
-           409: b"Conflict", 413: b"Content Too Large", 429: b"Too Many Requests",
-           431: b"Request Header Fields Too Large", 502: b"Bad Gateway", 503: b"Service Unavailable",
-           504: b"Gateway Timeout"}
+REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
+STATUS = {Ending.REFUSED: 503, Ending.FAILED: 502, Ending.TIMED_OUT: 504}
+FAULTS = {fault: 400 for fault in Fault} | {Fault.METHOD: 405, Fault.CONFLICT: 409}
 # What the sidecar acts on: where one is there twice, nobody can tell which of them is meant.
 ONCE = {b"x-request-id", b"x-class", b"x-deadline", b"x-tenant", b"idempotency-key", b"x-retry",
         b"x-cost-hint", b"content-length", b"transfer-encoding", b"host"}
 # Of one connection only, or written anew for the endpoint.
-NOT_PASSED = {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
-              b"upgrade", b"content-length", b"expect", b"x-deadline"}
-
-
-def key_of(query: bytes) -> int:
-    """The number of what a request is about: a hash that every sidecar computes alike; 0 for none."""
-    for part in query.split(b"&"):
-        if part.startswith(b"obj="):
-            return int.from_bytes(blake2b(part[4:], digest_size=8).digest(), "big") or 1
-    return 0
-
-
+NOT_PASSED = HOP | {b"expect", b"x-deadline"}
 PLAIN = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,12})?")
 
 
@@ -99,7 +89,7 @@
 
     def _fresh(self) -> None:
         self._url = b""
-        self._lines: list[bytes] = []
+        self._headers: Headers = []
         self._known: dict[bytes, bytes] = {}
         self._head_size = self._fault = 0
 
@@ -211,7 +201,7 @@
         if lower in ONCE and lower in self._known:
             raise UnusableError(400)
         if lower not in NOT_PASSED:
-            self._lines.append(b"%b: %b\r\n" % (name, value))
+            self._headers.append((name, value))
         self._known[lower] = value.strip(b" \t")
 
     def on_headers_complete(self) -> None:
@@ -239,16 +229,17 @@
         self._in_message = False
         keep = bool(self._parser.should_keep_alive()) and self._parser.get_http_version() == "1.1"
         body, self._body = self._body, bytearray()
-        call = Call(self, b"", body, keep)
+        call = Call(self, self._parser.get_method(), self._url, self._headers, body)
+        call.keep = keep
         self._queue.append(call)
         status = self._fault or self._submit(call)
         if status:
             call.over = True
             self._server.memory.give(len(body))
-            self.answer(call, status)
+            self._answer(call, status)
 
     def _submit(self, call: Call) -> int:
-        """Check a whole request and give it to the engine; the status of its refusal otherwise."""
+        """Read what the request says of itself and give it to the core; the status where it isn't taken."""
         known, server = self._known, self._server
         path, _, query = self._url.partition(b"?")
         if path == b"/_health":
@@ -256,27 +247,15 @@
         label = path[1:].partition(b"/")[0]
         cls = server.names.classes.get(known.get(b"x-class", label))
         patience = _plain(known.get(b"x-deadline"), 1000.0, MOST_PATIENCE_MS)
-        rid = known.get(b"x-request-id")
-        if path[:1] != b"/" or cls is None or server.names.classes.get(label) != cls or patience is None \
-                or not rid:
+        if path[:1] != b"/" or cls is None or server.names.classes.get(label) != cls or patience is None:
             return 400
-        # The method says what a repeat would do.  Where it contradicts the class, neither may be trusted.
-        method, effect = self._parser.get_method(), server.engine.effect(cls)
-        if method != (b"GET" if effect is Effect.SAFE else b"POST"):
-            return 405
-        keyed = bool(known.get(b"idempotency-key"))
-        if keyed is not (effect is Effect.KEYED) or (method == b"GET" and call.body):
-            return 400
-        if server.engine.holds(rid):
-            return 409
-        length = b"Content-Length: %d\r\n" % len(call.body) if method == b"POST" else b""
-        call.name = rid
-        call.head = b"%b %b HTTP/1.1\r\n%b%b" % (method, self._url, b"".join(self._lines), length)
-        server.engine.submit(
-            call, cls, patience, key_of(query) if query else 0,
-            server.names.tenants.get(known.get(b"x-tenant", b""), 0),
-            _plain(known.get(b"x-cost-hint"), 0.001, 1e9) or 0.0, known.get(b"x-retry") == b"1")
-        return 0
+        call.cls, call.name, call.keyed = cls, known.get(b"x-request-id", b""), bool(known.get(b"idempotency-key"))
+        call.key = key_of(query) if query else 0
+        call.tenant = server.names.tenants.get(known.get(b"x-tenant", b""), 0)
+        call.work_ms = _plain(known.get(b"x-cost-hint"), 0.001, 1e9) or 0.0
+        call.repeat = known.get(b"x-retry") == b"1"
+        fault = server.engine.take(call, patience)
+        return FAULTS[fault] if fault else 0
 
     def _drop_body(self) -> None:
         self._server.memory.give(len(self._body))
@@ -288,29 +267,41 @@
             return
         self._deaf, self._in_message = True, False
         self._drop_body()
-        call = Call(self, b"", b"", False)
-        call.over = True
+        call = Call(self, b"", b"", [], b"")
+        call.keep, call.over = False, True
         self._queue.append(call)
-        self.answer(call, status)
+        self._answer(call, status)
+
+    # -- output: the client's side of a request, for the core
 
-    # -- output: the client's side of a request, for the engine
+    def conclude(self, call: Call, final: Final) -> None:
+        reply = final.reply
+        if reply is None:
+            self._answer(call, STATUS[final.ending], final.retry_after_ms)
+            return
+        headers = b"".join([b"%b: %b\r\n" % h for h in reply.headers])
+        # Neither of these has a body, and a length would say otherwise (RFC 9110, 8.6).
+        length = -1 if reply.status in (204, 304) else len(reply.body)
+        self._put(call, self._head(call, reply.status, headers, length) + reply.body)
+
+    def settled(self, call: Call) -> None:
+        """Nothing is kept here for a request past its answer."""
 
     def _head(self, call: Call, status: int, headers: bytes, length: int) -> bytes:
         # While draining, the last answer on a connection says that it closes.
         if self._server.draining and len(self._queue) == 1 and not self._in_message:
             call.keep = False
-        return b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n%b\r\n" % (
-            status, REASONS[status], headers, length, b"" if call.keep else b"Connection: close\r\n")
+        framing = b"Content-Length: %d\r\n" % length if length >= 0 else b""
+        return b"HTTP/1.1 %d %b\r\n%b%b%b\r\n" % (
+            status, REASONS.get(status, b"Status"), headers, framing, b"" if call.keep else b"Connection: close\r\n")
 
-    def answer(self, call: Call, status: int, retry_after_ms: float = 0.0) -> None:
+    def _answer(self, call: Call, status: int, retry_after_ms: float = 0.0) -> None:
         advice = b""
         if status in (429, 503):  # a refusal tells when to come back, whoever words it
-            advice = b"Retry-After: %.3f\r\n" % (self._server.engine.come_back(retry_after_ms) / 1000)
+            wait = retry_after_ms or self._server.engine.come_back(0.0)
+            advice = b"Retry-After: %.3f\r\n" % (wait / 1000)
         self._put(call, self._head(call, status, advice, 0))
 
-    def serve(self, call: Call, headers: bytes, body: bytes) -> None:
-        self._put(call, self._head(call, 200, headers, len(body)) + body)
-
     def _put(self, call: Call, data: bytes) -> None:
         """Answers go out in the order of the requests; on a connection that is breaking, not at all."""
         call.reply = data
--- /dev/null
+++ b/gateusher/node.py
@@ -0,0 +1,61 @@
+"""The parts put together without a listener: core, connections and list on one loop, for daemon and library."""
+
+from __future__ import annotations
+
+import asyncio
+
+from .base.clock import Clock
+from .base.limits import Bytes, Descriptors, Pool
+from .config.model import Config
+from .core.engine import Engine
+from .discovery.catalog import Discovery
+from .discovery.fixed import Fixed
+from .upstream.http import Upstream
+from .upstream.reports import reader
+
+SWEEP_S = 0.1
+MEMORY_SHARE = 3    # one part in so many of the memory limit may be bodies and answers
+
+
+class Node:
+    """Takes calls from the moment it is made, on the running loop, until `close`."""
+
+    def __init__(self, config: Config, memory: Pool | None = None, sockets: Pool | None = None) -> None:
+        self.config = config
+        self.loop = asyncio.get_running_loop()
+        self.clock = Clock()
+        self.memory = Bytes(int(config.memory_mb * 1048576 / MEMORY_SHARE), memory)
+        self.descriptors = Descriptors(config.sockets, sockets)
+        settings = config.settings
+        self.engine = Engine(settings, config.methods, config.seed, self.clock, self.loop.call_later,
+                             config.most_held, self.memory)
+        self.upstream = Upstream(settings, config.serves, self.clock, self.memory, self.descriptors,
+                                 reader(settings.report_fields))
+        self.discovery: Discovery | Fixed
+        if config.discovery:
+            self.discovery = Discovery(config.discovery, config.names, self.engine.deliver, self.upstream.update,
+                                       self.upstream.knows)
+        else:
+            self.discovery = Fixed(config.names, self.engine.deliver, self.upstream.update, self.upstream.knows)
+        self.engine.upstream, self.engine.discovery = self.upstream, self.discovery
+        self.discovery.cached(config.known)
+        self._sweeping = self.loop.call_later(SWEEP_S, self._sweep)
+
+    def _sweep(self) -> None:
+        self.upstream.sweep()
+        self.discovery.sweep()
+        self._sweeping = self.loop.call_later(SWEEP_S, self._sweep)
+
+    def follow(self, config: Config) -> None:
+        """Take up a new configuration: where the list comes from.  All else holds from the start on."""
+        if config.discovery and isinstance(self.discovery, Discovery):
+            self.discovery.move(config.discovery)
+        elif not config.discovery and isinstance(self.discovery, Fixed):
+            self.discovery.replace(config.known)
+
+    def close(self) -> None:
+        """End at once: open calls get their final answers, connections close, no timer is left."""
+        self._sweeping.cancel()
+        self.engine.close()
+        self.discovery.stop()
+        self.upstream.close()
--- /dev/null
+++ b/gateusher/simulator/settings.py
@@ -0,0 +1,117 @@
+"""The settings object of the simulator's first message, which the platform's configuration holds too."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from ..policy.interface import ClassSettings, Effect, Prices, Scope, Settings
+
+EFFECTS = {"idempotent": Effect.SAFE, "deduplicated": Effect.KEYED, "at_most_once": Effect.UNSAFE}
+PRICES = ("cross_zone", "probe", "waste", "handshake", "connection", "late_fail")
+
+
+class SettingsError(ValueError):
+    """Settings are missing or make no sense; `faults` names each by its path and says what is allowed."""
+
+    def __init__(self, faults: list[str]) -> None:
+        super().__init__("; ".join(faults))
+        self.faults = faults
+
+
+class _Table:
+    """A JSON object that is read key by key; a fault is noted and reading goes on with a stand-in."""
+
+    def __init__(self, raw: dict[str, Any], path: str, faults: list[str]) -> None:
+        self.raw, self._path, self._faults = raw, path, faults
+
+    def fault(self, key: str, allowed: str) -> None:
+        found = repr(self.raw[key])[:80] if key in self.raw else "nothing"
+        self._faults.append(f"{self._path}{key}: {allowed}, found {found}")
+
+    def number(self, key: str, default: float | None = None) -> float:
+        value = self.raw.get(key, default)
+        if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 <= value < float("inf"):
+            self.fault(key, "a number of 0 or more")
+            return 0.0
+        return float(value)
+
+    def choice(self, key: str, choices: dict[str, Any], default: str | None = None) -> Any:
+        value = self.raw.get(key, default)
+        if not isinstance(value, str) or value not in choices:
+            self.fault(key, "one of " + ", ".join(choices))
+            return next(iter(choices.values()))
+        return choices[value]
+
+    def table(self, key: str) -> _Table:
+        value = self.raw.get(key, {})
+        if not isinstance(value, dict):
+            self.fault(key, "an object")
+            value = {}
+        return _Table(value, f"{self._path}{key}.", self._faults)
+
+    def items(self, key: str) -> list[Any]:
+        value = self.raw.get(key, [])
+        if not isinstance(value, list):
+            self.fault(key, "a list")
+            return []
+        return value
+
+    def tables(self, key: str) -> list[_Table]:
+        found = []
+        for i, item in enumerate(self.items(key)):
+            if isinstance(item, dict):
+                found.append(_Table(item, f"{self._path}{key}[{i}].", self._faults))
+            else:
+                self._faults.append(f"{self._path}{key}[{i}]: an object, found {item!r}"[:200])
+        return found
+
+
+def _class(lane: _Table) -> ClassSettings:
+    return ClassSettings(
+        effect=lane.choice("effect", EFFECTS), aim_ms=lane.number("objective_ms"),
+        deadline_ms=lane.number("give_up_ms"), worth=lane.number("worth", 1.0),
+        late_worth=lane.number("late_worth", 0.0), window_ms=lane.number("window_ms", 0.0),
+        scope=lane.choice("group", {s.value: s for s in Scope}, "all"),
+        stream=bool(lane.raw.get("stream")), aim_stretch=lane.number("aim_stretch", 0.0))
+
+
+def parse_settings(text: bytes) -> Settings:
+    """Settings from the wire's JSON; unknown keys are ignored."""
+    try:
+        raw = json.loads(text)
+    except ValueError as error:
+        raise SettingsError([f"not JSON: {error}"]) from None
+    if not isinstance(raw, dict):
+        raise SettingsError(["an object is wanted"])
+    faults: list[str] = []
+    conf = _Table(raw, "", faults)
+    bounds, rules, prices, reports = (conf.table(k) for k in ("bounds", "rules", "prices", "telemetry"))
+    if not conf.items("lanes"):
+        conf.fault("lanes", "a list with at least one class")
+    settings = Settings(
+        classes=tuple(_class(lane) for lane in conf.tables("lanes")),
+        index=int(conf.number("me", 0)), clients=int(conf.number("balancers", 1)),
+        zone=int(conf.number("zone", 0)), zones=max(1, len(conf.items("zones"))),
+        kinds=max(1, len(conf.items("kinds"))),
+        quotas_per_s=tuple(t.number("quota_per_s", 0.0) for t in conf.tables("tenants")),
+        over_share_worth=conf.number("over_share_worth", 1.0),
+        prices=Prices(**{k: prices.number(k, 0.0) for k in PRICES}),
+        tick_ms=conf.number("tick_ms", 1.0), max_attempts=max(1, int(bounds.number("max_attempts", 1))),
+        may_probe=bool(bounds.raw.get("probes")), may_cancel=bool(bounds.raw.get("may_cancel")),
+        may_duplicate=bool(bounds.raw.get("may_duplicate")), retry_after=bool(bounds.raw.get("retry_after")),
+        max_retry_after_ms=bounds.number("max_retry_after_ms", 0.0),
+        dial_timeout_ms=bounds.number("dial_timeout_ms", 250.0),
+        idle_ms=bounds.number("conn_idle_ms", 15000.0),
+        report_fields=tuple(str(f) for f in reports.items("fields")),
+        reports_pulled=reports.choice("source", {"pull": True, "piggyback": False, "silent": False}, "silent"),
+        share_known=raw.get("weight_kind", "silent") != "silent",
+        warm_keys=bool(conf.table("family_info").raw.get("warm_keys")), by_work=raw.get("worth_by") == "work",
+        must_ask=conf.choice("discovery", {"ask": True, "push": False}, "push"),
+        must_ask_in_ms=rules.number("must_ask_in_ms", 10000.0),
+        drain_grace_ms=rules.number("stop_sending_within_ms", 0.0),
+        cold_share=rules.number("cold_share", 1.0), warm_within_ms=rules.number("warm_within_ms", 0.0),
+        fall_multiple=rules.number("fall_multiple", 1.0), fall_ms=rules.number("tip_after_ms", 0.0))
+    if faults:
+        raise SettingsError(faults)
+    return settings
--- a/gateusher/upstream/http.py
+++ b/gateusher/upstream/http.py
@@ -1,4 +1,4 @@
-"""Connections to endpoints, one request each, and the attempts on them: socket facts become outcomes.
+"""HTTP/1.1 to endpoints (RFC 9112): connections, one request each at a time; socket facts become outcomes.
 
 Nothing is ever sent twice from here: an attempt that breaks is reported, and the module decides.
 """
@@ -7,7 +7,7 @@
 
 import asyncio
 import select
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import cast
 
 import httptools
@@ -15,16 +15,15 @@
 
 from ..base.clock import Clock
 from ..discovery.catalog import HostLine
-from ..core.engine import Call, Engine
 from ..base.limits import Bytes, Descriptors
 from ..base.log import say
+from .interface import HOP, NO_REPLY, Attempt, Headers, Reply
 
 MOST_BODY = 65536       # an answer's body
 MOST_HEAD = 65536       # an answer's header block
 IDLE_PART = 0.8         # of the time after which an endpoint closes an idle connection
 ANSWER_S = 0.15         # an answer is whole so long after its first bytes
 SETTLE_MS = 4.0         # how long a connection rests after an answer, before it carries another request
-PROBE_MS = 500.0        # how long a probe may take once its connection is up
 
 
 class Host:
@@ -39,18 +38,6 @@
         self.idle: list[Connection] = []
 
 
-class Attempt:
-    """One sending of a request, or a probe (`call` is then a request of nobody's)."""
-
-    __slots__ = ("call", "conn", "eid", "expires_ms", "host", "number", "sent_ms", "timer")
-
-    def __init__(self, call: Call, number: int, host: Host, sent_ms: float, expires_ms: float) -> None:
-        self.call, self.number, self.host, self.eid = call, number, host, host.eid
-        self.sent_ms, self.expires_ms = sent_ms, expires_ms
-        self.conn: Connection | None = None
-        self.timer: asyncio.TimerHandle | None = None
-
-
 class Connection(asyncio.Protocol):
     """A connection to an endpoint, from the dial on."""
 
@@ -73,7 +60,8 @@
         self._status = self._length = 0
         self._head_size = 0
         self._begun = self._headed = False   # an answer's first bytes have come, and its whole head
-        self._headers = self._report = b""
+        self._headers: Headers = []
+        self._hop = self._report = b""
         self._framed = self._not_run = self._keep = self._closes = self._complete = self._bad = False
         self._held: list[bytes] = []
         self._size = 0
@@ -91,11 +79,13 @@
     def _write(self, transport: asyncio.Transport) -> None:
         attempt = self.attempt
         assert attempt
-        call, body = attempt.call, attempt.call.body
+        message = attempt.message
         # The deadline goes on as the time that is left of this attempt.
         left = max(0.0, attempt.expires_ms - self._up.clock.now()) / 1000
-        head = b"%bX-Deadline: %.3f\r\n\r\n" % (call.head, left)
-        transport.write(head + body)
+        length = b"" if message.method == b"GET" else b"Content-Length: %d\r\n" % len(message.body)
+        head = b"%b %b HTTP/1.1\r\n%b%bX-Deadline: %.3f\r\n\r\n" % (
+            message.method, message.target, b"".join([b"%b: %b\r\n" % h for h in message.headers]), length, left)
+        transport.write(head + message.body)
         self._unwritten = transport.is_closing()
 
     def pause_writing(self) -> None:
@@ -195,14 +185,15 @@
         elif name == b"x-load":
             self._report = value
         elif name == b"connection":
-            self._closes = value.strip().lower() == b"close"
+            self._hop = value.strip().lower()
+            self._closes = self._hop == b"close"
         elif name == b"x-not-run":
             self._not_run = value == b"1"
         elif name == b"transfer-encoding":
             self._framed = True
             self._bad = self._bad or value.strip().lower() != b"chunked"
-        elif name.startswith(b"content-"):
-            self._headers += b"%b: %b\r\n" % (name, value)
+        elif name not in HOP:
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         if self._complete:
@@ -213,13 +204,13 @@
         self._headed = True
         if self._length > MOST_BODY:
             self._bad = True
-        if self._status == 200 and not self.written:
+        if self._up.serves(self._status) and not self.written:
             # An endpoint begins when the last byte has come: this answers something else.
             self._bad = True
 
     def on_body(self, data: bytes) -> None:
-        if self._complete or self._bad or self.attempt is None or self._status != 200:
-            return  # only a 200's body is anybody's
+        if self._complete or self._bad or self.attempt is None or not self._up.serves(self._status):
+            return  # only an answer's body is anybody's
         if self._size + len(data) > MOST_BODY or not self._up.memory.take(len(data)):
             self._bad = True
             return
@@ -250,20 +241,24 @@
     def _done(self) -> None:
         """A whole answer: report it, after the connection is back where the next attempt can find it."""
         attempt, status = self._detach(), self._status
-        body, headers = b"".join(self._held) if self._held else b"", self._headers
+        outcome, reply = Outcome.ERROR, NO_REPLY
+        if self._up.serves(status):
+            outcome = Outcome.OK
+            headers = self._headers
+            if self._hop and not self._closes and self._hop != b"keep-alive":
+                # The endpoint may name further headers of this connection (RFC 9110, 7.6.1).
+                named = {part.strip() for part in self._hop.split(b",")}
+                headers = [h for h in headers if h[0] not in named]
+            reply = Reply(status, headers, b"".join(self._held) if self._held else b"")
+        elif status in (503, 504) and self._not_run:
+            outcome = Outcome.FULL
         self._let_go()
         # What comes behind an answer, a second copy or noise, must never meet the next request.
         if self._keep and self.written and not self._stray:
             self._up.release(self)
         else:
             self.close()
-        if status == 200:
-            outcome = Outcome.OK
-        elif status in (503, 504) and self._not_run:
-            outcome = Outcome.FULL
-        else:
-            outcome = Outcome.ERROR
-        self._up.report(attempt, outcome, self._report, headers, body)
+        self._up.report(attempt, outcome, self._report, reply)
 
     def _break(self) -> None:
         """The connection broke: whether the last byte was out decides."""
@@ -295,14 +290,15 @@
 class Upstream:
     """All endpoints, and all connections to them."""
 
-    def __init__(self, settings: Settings, clock: Clock, engine: Engine, memory: Bytes,
+    def __init__(self, settings: Settings, serves: frozenset[int], clock: Clock, memory: Bytes,
                  descriptors: Descriptors, read_report: Callable[[bytes], tuple[float, ...]]) -> None:
-        self.clock, self.engine, self.memory = clock, engine, memory
+        self.clock, self.memory = clock, memory
+        self.serves = serves.__contains__
         self._fds, self._read_report = descriptors, read_report
         self.loop = asyncio.get_running_loop()
         self._dial_s = settings.dial_timeout_ms / 1000
         self._idle_ms = settings.idle_ms * IDLE_PART
-        self._pulled = settings.reports_pulled
+        self.pulls_reports = settings.reports_pulled
         self._hosts: dict[int, Host] = {}
         self._conns: set[Connection] = set()
         descriptors.reclaimers.append(self._reclaim)
@@ -314,7 +310,7 @@
         host = self._hosts.get(line.endpoint.endpoint)
         return host is None or host.name == line.name
 
-    def update(self, lines: list[HostLine], whole: bool) -> None:
+    def update(self, lines: Iterable[HostLine], whole: bool) -> None:
         named = set()
         for line in lines:
             entry = line.endpoint
@@ -336,15 +332,14 @@
 
     # -- attempts
 
-    def start(self, call: Call, number: int, eid: int, now: float, expires_ms: float) -> None:
-        host = self._hosts.get(eid)
-        attempt = Attempt(call, number, host or Host(eid, ""), now, expires_ms)
-        call.attempts[number] = attempt
-        conn = self._connection(host) if host and host.ready else None
+    def start(self, attempt: Attempt) -> None:
+        host = attempt.host = self._hosts.get(attempt.eid)
+        conn = self._connection(host) if host and (host.ready or attempt.to_any) else None
         if conn is None:
             self.report(attempt, Outcome.NOT_SENT, b"")
             return
-        attempt.timer = self.loop.call_later((expires_ms - now) / 1000, self._expired, attempt)
+        left = (attempt.expires_ms - attempt.sent_ms) / 1000
+        attempt.timer = self.loop.call_later(left, self._expired, attempt)
         conn.carry(attempt)
 
     def _connection(self, host: Host) -> Connection | None:
@@ -385,7 +380,7 @@
     def _expired(self, attempt: Attempt) -> None:
         conn = attempt.conn
         # Unanswered, and nothing else heard from there since: its other connections may be just as dead.
-        if attempt.host.heard_ms < attempt.sent_ms:
+        if attempt.host and attempt.host.heard_ms < attempt.sent_ms:
             self.close_idle(attempt.eid)
         self.give_up(attempt, Outcome.TIMEOUT if conn and conn.written else Outcome.CONNECT_FAILED)
 
@@ -393,31 +388,12 @@
         if attempt.conn:
             attempt.conn.stop(outcome)
 
-    def report(self, attempt: Attempt, outcome: Outcome, text: bytes, headers: bytes = b"",
-               body: bytes = b"") -> None:
-        """Tell the engine."""
+    def report(self, attempt: Attempt, outcome: Outcome, text: bytes, reply: Reply = NO_REPLY) -> None:
+        """Hand an attempt back with its outcome."""
         values = self._read_report(text) if text else ()
-        elapsed = self.clock.now() - attempt.sent_ms
-        if attempt.number < 0:
-            if self._pulled and body and not values:
-                values = self._read_report(body.strip())
-            self.engine.probed(attempt.eid, elapsed, outcome, values)
-        else:
-            self.engine.ended(attempt, outcome, values, elapsed, headers, body)
-
-    def probe(self, eid: int) -> None:
-        """Ask an endpoint how it is.  The answer counts as the table of outcomes says."""
-        host, now = self._hosts.get(eid), self.clock.now()
-        conn = self._connection(host) if host else None
-        if not host or conn is None:
-            self.engine.probed(eid, 0.0, Outcome.NOT_SENT, ())
-            return
-        path = b"/_load" if self._pulled else b"/ping"
-        call = Call(NOBODY, b"GET %b HTTP/1.1\r\nHost: origin.svc\r\n" % path, b"", True)
-        wait = PROBE_MS + self._dial_s * 1000
-        attempt = Attempt(call, -1, host, now, now + wait)
-        attempt.timer = self.loop.call_later(wait / 1000, self._expired, attempt)
-        conn.carry(attempt)
+        if attempt.to_any and self.pulls_reports and reply.body and not values:
+            values = self._read_report(reply.body.strip())
+        attempt.ended(outcome, values, self.clock.now() - attempt.sent_ms, reply)
 
     # -- connections
 
@@ -469,12 +445,7 @@
         for conn in list(self._conns):
             conn.close()
 
-
-class _Nobody:
-    """The client of a probe."""
-
-    def answer(self, call: Call, status: int, retry_after_ms: float = 0.0) -> None: ...
-    def serve(self, call: Call, headers: bytes, body: bytes) -> None: ...
-
-
-NOBODY = _Nobody()
+    async def closed(self) -> None:
+        """After `close`: until no connection holds a descriptor any more, some turns of the loop later."""
+        while self._conns:
+            await asyncio.sleep(0)
--- /dev/null
+++ b/gateusher/upstream/interface.py
@@ -0,0 +1,85 @@
+"""What passes between the core and the connections to endpoints, whatever protocol these speak.
+
+The core makes an `Attempt` and hands it over; from then on it is the connections' until they call `ended`, once.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections.abc import Iterable
+from typing import TYPE_CHECKING, NamedTuple, Protocol
+
+from ..discovery.catalog import HostLine
+from ..policy.interface import Outcome
+
+if TYPE_CHECKING:
+    from .http import Connection, Host
+
+Headers = list[tuple[bytes, bytes]]
+
+# Headers of one connection only (RFC 9110, 7.6.1), or written anew on each: they are never passed on.
+HOP = frozenset({b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
+                 b"upgrade", b"content-length", b"proxy-authenticate", b"proxy-authorization"})
+
+
+class Message:
+    """What is to be sent: a whole request, in the terms of HTTP's semantics (RFC 9110) and of no version."""
+
+    __slots__ = ("body", "headers", "method", "target")
+
+    def __init__(self, method: bytes, target: bytes, headers: Headers, body: bytes | bytearray) -> None:
+        self.method, self.target, self.headers, self.body = method, target, headers, body
+
+
+class Reply(NamedTuple):
+    """A whole answer of an endpoint: the final status, the end-to-end headers as they came, the body."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+NO_REPLY = Reply(0, [], b"")
+
+
+class Attempt(ABC):
+    """One sending of a message to one endpoint, until `expires_ms` (the clock's milliseconds)."""
+
+    __slots__ = ("conn", "eid", "expires_ms", "host", "message", "sent_ms", "timer")
+    to_any = False  # a probe, which may also go to an endpoint that takes no requests
+
+    def __init__(self, message: Message, eid: int, sent_ms: float, expires_ms: float) -> None:
+        self.message, self.eid, self.sent_ms, self.expires_ms = message, eid, sent_ms, expires_ms
+        self.host: Host | None = None           # the connections' own from here on
+        self.conn: Connection | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+    @property
+    def written(self) -> bool:
+        """The last byte is in the kernel's hands: from here on it may have run."""
+        return self.conn is not None and self.conn.written
+
+    @abstractmethod
+    def ended(self, outcome: Outcome, report: tuple[float, ...], elapsed_ms: float, reply: Reply) -> None:
+        """The one outcome; `reply` is whole where it is OK, and `NO_REPLY` otherwise."""
+
+
+class Sender(Protocol):
+    """What the core asks of the connections to endpoints."""
+
+    def start(self, attempt: Attempt) -> None:
+        """Take an attempt; its `ended` is called once, at the earliest within this call."""
+
+    def give_up(self, attempt: Attempt, outcome: Outcome) -> None:
+        """End an attempt with this outcome, and with it its connection; nothing where it has ended."""
+
+    def close_idle(self, eid: int) -> None:
+        """Close the connections to this endpoint that carry nothing."""
+
+    def update(self, lines: Iterable[HostLine], whole: bool) -> None:
+        """News of the list: where endpoints listen, and which may be sent to."""
+
+    @property
+    def pulls_reports(self) -> bool:
+        """Whether load reports are the bodies of probes' answers."""
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -65,7 +65,7 @@
             head, body = await r.ask(look("good"))
             assert (status(head), body) == (200, b"ok")
             assert len(endpoint.seen) == 1
-            assert r.sidecar.server.memory.held == 0
+            assert r.sidecar.node.memory.held == 0
     run(test())
 
 
@@ -205,7 +205,7 @@
             head, _ = await r.ask(pay())
             assert status(head) == 502
             assert sum(len(e.seen) for e in endpoints) == 3
-            assert r.sidecar.server.memory.held == 0
+            assert r.sidecar.node.memory.held == 0
     run(test())
 
 
