Library, ASGI middleware, httpx transport, TOML configuration, stand-ins and the first run

Need: handheld backends call nodes from inside their process under the daemon's rules; a newcomer needs a first run that works.

Change: Gateway (asyncio and blocking), GatewayMiddleware, GatewayTransport, gateusher run/check/try, make try and make test, stand-in nodes that count effects by id.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,17 @@
+# The two commands of a newcomer: `make try` and `make test`.
+
+.PHONY: try test bench
+
+.venv/made: requirements.txt requirements-dev.txt
+	test -d .venv || python3 -m venv .venv
+	.venv/bin/pip -q install -r requirements-dev.txt
+	touch $@
+
+try: .venv/made
+	.venv/bin/python -m gateusher try
+
+test: .venv/made
+	sh .ci/test
+
+bench: .venv/made
+	.venv/bin/python -m bench.library
--- /dev/null
+++ b/gateusher/blocking.py
@@ -0,0 +1,111 @@
+"""The library for threaded code (WSGI, scripts): one event loop in a thread of its own behind plain calls."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import threading
+from collections.abc import Callable, Coroutine, Iterable
+from concurrent.futures import Future
+from types import TracebackType
+from typing import Any
+
+from . import client
+from .client import MOST_BODY, Answer, Budget, InvalidRequest, Settled, Unusable
+from .config.model import Config
+
+
+class Gateway:
+    """As `gateusher.Gateway`, for any number of threads at once.
+
+    :param loop_factory: makes the loop, `asyncio.new_event_loop` by default, or uvloop's.
+    """
+
+    def __init__(self, config: Config, *, on_settled: Callable[[Settled], object] | None = None,
+                 budget: Budget | None = None,
+                 loop_factory: Callable[[], asyncio.AbstractEventLoop] = asyncio.new_event_loop) -> None:
+        self._gateway = client.Gateway(config, on_settled=on_settled, budget=budget)
+        self._loop_factory = loop_factory
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._thread: threading.Thread | None = None
+        self._pid = 0
+
+    @classmethod
+    def from_config(cls, path: str, *, on_settled: Callable[[Settled], object] | None = None,
+                    budget: Budget | None = None) -> Gateway:
+        """A gateway by a TOML file.  Raises `ConfigError` with every fault of it."""
+        from .config.file import load  # noqa: PLC0415 - importing the library needs no reader of files
+
+        return cls(load(path), on_settled=on_settled, budget=budget)
+
+    def start(self) -> None:
+        """Start the thread and open the gateway on its loop."""
+        if self._thread:
+            raise Unusable("this gateway has been started before")
+        self._pid = os.getpid()
+        self._loop = self._loop_factory()
+        self._thread = threading.Thread(target=self._run, args=(self._loop,), name="gateusher", daemon=True)
+        self._thread.start()
+        self._wait(self._gateway.start())
+
+    @staticmethod
+    def _run(loop: asyncio.AbstractEventLoop) -> None:
+        try:
+            loop.run_forever()
+        finally:
+            loop.close()
+
+    def _wait(self, work: Coroutine[Any, Any, Any]) -> Any:
+        loop, thread = self._loop, self._thread
+        if loop is None or thread is None:
+            work.close()
+            raise Unusable("the gateway is not open: use `with` or `start`")
+        if os.getpid() != self._pid:
+            work.close()
+            raise Unusable(f"the gateway belongs to process {self._pid}, which forked this one: make one after "
+                           "the fork")
+        if loop.is_closed() or thread is threading.current_thread():
+            work.close()
+            raise Unusable("the gateway has ended, or is called from its own loop")
+        future: Future[Any] = asyncio.run_coroutine_threadsafe(work, loop)
+        try:
+            return future.result()
+        except BaseException:
+            future.cancel()  # an interrupt of the waiting thread cancels the request, as a task's cancel would
+            raise
+
+    def __enter__(self) -> Gateway:
+        self.start()
+        return self
+
+    def __exit__(self, kind: type[BaseException] | None, error: BaseException | None,
+                 trace: TracebackType | None) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """The planned end, as the other gateway's, and the end of the thread."""
+        loop, thread = self._loop, self._thread
+        if loop is None or thread is None or os.getpid() != self._pid or loop.is_closed():
+            return
+        try:
+            self._wait(self._gateway.close())
+        finally:
+            loop.call_soon_threadsafe(loop.stop)
+            thread.join()
+
+    def request(self, cls: str, *, path: str | None = None, method: str | None = None,
+                body: bytes | Iterable[bytes] = b"", headers: Iterable[tuple[str, str]] = (),
+                deadline: float | None = None, request_id: str | None = None,
+                idempotency_key: str | None = None, tenant: str | None = None, key: str | None = None) -> Answer:
+        """As the other gateway's `request`, and raises what that does.  It inherits the thread's deadline."""
+        if not isinstance(body, bytes):
+            content = bytearray()
+            for part in body:
+                content += part
+                if len(content) > MOST_BODY:
+                    raise InvalidRequest(f"a body holds at most {MOST_BODY} bytes")
+            body = bytes(content)
+        answer: Answer = self._wait(self._gateway.request(
+            cls, path=path, method=method, body=body, headers=headers, deadline=deadline, request_id=request_id,
+            idempotency_key=idempotency_key, tenant=tenant, key=key))
+        return answer
