--- a/gateusher/standins/nodes.py
+++ b/gateusher/standins/nodes.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections import Counter, defaultdict, deque
 from dataclasses import dataclass, field
 
@@ -94,6 +95,9 @@
     asked: dict[str, list[Asked]] = field(default_factory=lambda: defaultdict(list))
     by_node: Counter[str] = field(default_factory=Counter)
     cut: Counter[str] = field(default_factory=Counter)        # requests reset before they were whole
+    group: str = "all"            # which nodes drop the repeats of an idempotency key: "all", or one "zone"
+    window: float = 60.0          # and for how many seconds
+    _ran: dict[tuple[str, str], float] = field(default_factory=dict)
     _waiting: list[tuple[str, int, asyncio.Future[None]]] = field(default_factory=list)
     _held: dict[str, list[asyncio.Event]] = field(default_factory=lambda: defaultdict(list))
 
@@ -114,6 +118,16 @@
             if not entry[2].done():
                 entry[2].set_result(None)
 
+    def run(self, rid: str, zone: str, asked: Asked, now: float) -> None:
+        """One effect, unless it is a repeat of a key that is still remembered."""
+        key = asked.headers.get("idempotency-key")
+        if key is not None:
+            place = zone if self.group == "zone" else "", key
+            if now - self._ran.get(place, -1e9) <= self.window:
+                return
+            self._ran[place] = now
+        self.effects[rid] += 1
+
     async def arrival(self, rid: str, count: int = 1) -> None:
         """Until so many attempts of this request have come whole."""
         if self.attempts[rid] < count:
@@ -146,9 +160,9 @@
     :param cold: what part of its speed it starts with, rising evenly to all of it within `warm_s`.
     """
 
-    def __init__(self, fleet: Fleet, name: str = "node", *, work: float = 0.0, cores: int = 1,
+    def __init__(self, fleet: Fleet, name: str = "node", *, zone: str = "", work: float = 0.0, cores: int = 1,
                  most_queued: int = 64, cold: float = 1.0, warm_s: float = 0.0) -> None:
-        self.fleet, self.name = fleet, name
+        self.fleet, self.name, self.zone = fleet, name, zone
         self.work, self.cores, self.most_queued = work, cores, most_queued
         self.cold, self.warm_s = cold, warm_s
         self.draining = False
@@ -168,7 +182,7 @@
 
     def entry(self, health: str = "Ready", **more: object) -> dict[str, object]:
         """Its line in a list."""
-        return {"host": self.name, "dial": f"127.0.0.1:{self.port}", "site": "", "class": "", "block": 0,
+        return {"host": self.name, "dial": f"127.0.0.1:{self.port}", "site": self.zone, "class": "", "block": 0,
                 "health": health, "share": 1.0, "born_ms": 0, **more}
 
     @property
@@ -205,16 +219,22 @@
         self.fleet.came(rid, self.name, asked)
         act = self.fleet.next(rid)
         if act is None and not self.work and not self.draining:
-            self.fleet.effects[rid] += 1
+            self._ran(rid, asked)
             peer.write(answer(200, rid.encode(), (("X-Load", f"TEXT queue={self.load}"),)))
             return
         if isinstance(act, NotRun) or (act is None and (self.draining or len(self._queue) >= self.most_queued)):
             peer.write(answer(act.status if isinstance(act, NotRun) else 503, b"", (("X-Not-Run", "1"),)))
             return
-        task = asyncio.get_running_loop().create_task(self._serve(peer, rid, act))
+        if act is not None and (not isinstance(act, Stall) or act.runs):
+            self._ran(rid, asked)  # at once: what waits for its coming may end this node in the same turn
+        held = self.fleet.hold(rid) if isinstance(act, Stall) else None
+        task = asyncio.get_running_loop().create_task(self._serve(peer, rid, act, asked, held))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _ran(self, rid: str, asked: Asked) -> None:
+        self.fleet.run(rid, self.zone, asked, asyncio.get_running_loop().time())
+
     async def _work(self) -> None:
         """Wait for a core and use it; a cold node is slower."""
         if not self.work:
@@ -235,10 +255,11 @@
             else:
                 self._busy -= 1
 
-    async def _serve(self, peer: _NodePeer, rid: str, act: Act | None) -> None:
+    async def _serve(self, peer: _NodePeer, rid: str, act: Act | None, asked: Asked,
+                     held: asyncio.Event | None) -> None:
         if act is None:
             await self._work()
-        self.fleet.effects[rid] += 1
+            self._ran(rid, asked)
         usual = answer(200, rid.encode(), (("X-Load", f"TEXT queue={self.load}"),))
         if isinstance(act, Reply):
             await asyncio.sleep(act.after)
@@ -248,10 +269,8 @@
             for at in range(0, len(data), step):
                 peer.write(data[at:at + step])
                 await asyncio.sleep(0)
-        elif isinstance(act, Stall):
-            if not act.runs:
-                self.fleet.effects[rid] -= 1
-            await self.fleet.hold(rid).wait()
+        elif held:
+            await held.wait()
             peer.write(usual)
         elif isinstance(act, Reset):
             if act.at:
@@ -278,6 +297,26 @@
             peer.write(usual)
 
 
+class Silent:
+    """An address where connections never come up: its queue is full and nobody accepts."""
+
+    def __init__(self) -> None:
+        self._listener = socket.socket()
+        self._listener.bind(("127.0.0.1", 0))
+        self._listener.listen(0)
+        self.port: int = self._listener.getsockname()[1]
+        self._filling = []
+        for _ in range(4):  # Linux holds one more than asked for; what comes then gets no answer
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(("127.0.0.1", self.port))
+            self._filling.append(filler)
+
+    def close(self) -> None:
+        for sock in [*self._filling, self._listener]:
+            sock.close()
+
+
 class _NodePeer(Peer):
     def __init__(self, node: Node) -> None:
         super().__init__()
--- /dev/null
+++ b/tests/conformance/test_conformance.py
@@ -0,0 +1,39 @@
+"""One suite, four faces: what is written in a scenario holds on each of them alike."""
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+import uvloop
+
+from .faces import FACES
+from .scenarios import SCENARIOS
+from .stage import Scenario, stage
+
+LOOPS: dict[str, Callable[[], asyncio.AbstractEventLoop]] = {
+    "daemon": uvloop.new_event_loop, "library": asyncio.new_event_loop, "asgi": uvloop.new_event_loop,
+    "httpx": asyncio.new_event_loop}
+
+
+def play(scenario: Scenario, face: str) -> None:
+    async def run() -> None:
+        async with asyncio.timeout(20), stage(face, scenario.setup) as s:
+            await scenario.play(s)
+
+    with asyncio.Runner(loop_factory=LOOPS[face]) as runner:
+        runner.run(run())
+
+
+@pytest.mark.parametrize("face", FACES)
+@pytest.mark.parametrize("scenario", SCENARIOS, ids=lambda s: s.name)
+def test_scenario(scenario: Scenario, face: str) -> None:
+    if why := scenario.not_on.get(face):
+        pytest.skip(why)
+    play(scenario, face)
+
+
+def test_there_are_enough_and_each_is_one() -> None:
+    names = [s.name for s in SCENARIOS]
+    assert len(names) == len(set(names)) >= 60
+    for scenario in SCENARIOS:
+        assert len(scenario.not_on) < 3, "a scenario that runs on one face compares nothing"
