--- a/gateusher/upstream/http.py
+++ b/gateusher/upstream/http.py
@@ -361,7 +361,10 @@
             return None
         conn = Connection(self, host)
         self._conns.add(conn)
-        conn.dial = self.loop.create_task(self._dial(conn))
+        dial = conn.dial = self.loop.create_task(self._dial(conn))
+        # Not in the task itself: one that is cancelled before its first step never runs a line of it, and the
+        # descriptor would never be given back.
+        dial.add_done_callback(lambda task: self.lost(conn) if task.cancelled() else None)
         return conn
 
     async def _dial(self, conn: Connection) -> None:
@@ -373,9 +376,6 @@
             if conn.attempt:
                 conn.stop(Outcome.CONNECT_FAILED)
             self.lost(conn)
-        except asyncio.CancelledError:
-            self.lost(conn)
-            raise
 
     def _expired(self, attempt: Attempt) -> None:
         conn = attempt.conn
--- /dev/null
+++ b/tests/library/test_cancel.py
@@ -0,0 +1,336 @@
+"""What a cancel of the caller does and doesn't do, at every moment of a request."""
+
+import asyncio
+import gc
+import os
+from collections.abc import AsyncIterator, Callable
+from contextlib import suppress
+
+import pytest
+import uvloop
+
+from gateusher import Conflict, DeadlineExceeded, Failed, Gateway, InvalidRequest, Unusable
+from gateusher.client import deadline
+from gateusher.standins.nodes import NotRun, Reply, Reset, Stall
+
+from .rig import at_rest, config, fleet_of, rig, run, until
+
+LOOPS = [asyncio.new_event_loop, uvloop.new_event_loop]
+
+
+def test_a_cancelled_issue_is_settled_once_with_what_became_of_it() -> None:
+    async def test() -> None:
+        async with rig() as r:
+            r.fleet.tell("r", Stall())
+            task = r.ask()
+            await r.fleet.arrival("r")
+            task.cancel()
+            with pytest.raises(asyncio.CancelledError):
+                await task
+            assert not r.settled
+            with pytest.raises(Conflict):
+                await r.gateway.request("issue", request_id="r")
+            r.fleet.release("r")
+            await until(lambda: at_rest(r.gateway))
+            assert [tuple(s) for s in r.settled] == [("r", "issue", "served", True)]
+            assert (r.fleet.attempts["r"], r.fleet.effects["r"]) == (1, 1)
+            assert (r.nodes[0].open, r.nodes[0].connections) == (1, 1)  # it lived through the cancel
+            await r.gateway.request("issue", request_id="r2")
+    run(test())
+
+
+def test_a_second_cancel_changes_nothing() -> None:
+    async def test() -> None:
+        async with rig() as r:
+            r.fleet.tell("r", Stall())
+            again = asyncio.Event()
+
+            async def caller() -> None:
+                try:
+                    await r.gateway.request("issue", request_id="r")
+                finally:
+                    again.set()
+                    await asyncio.sleep(60)  # the application's own clean-up
+
+            task = asyncio.create_task(caller())
+            await r.fleet.arrival("r")
+            task.cancel()
+            await again.wait()
+            task.cancel()
+            with pytest.raises(asyncio.CancelledError):
+                await task
+            r.fleet.release("r")
+            await until(lambda: at_rest(r.gateway))
+            assert [s.outcome for s in r.settled] == ["served"]
+            assert r.fleet.effects["r"] == 1
+    run(test())
+
+
+@pytest.mark.parametrize("loop", LOOPS)
+def test_an_answer_and_a_cancel_in_one_turn_of_the_loop(loop: Callable[[], asyncio.AbstractEventLoop]) -> None:
+    """The answer is there and the waiting task not woken yet when it is cancelled: the outcome isn't lost."""
+    async def test() -> None:
+        async with rig() as r:
+            r.fleet.tell("r", Stall())
+            task = r.ask()
+            await r.fleet.arrival("r")
+            (call,) = r.node.engine.calls.values()
+            conclude = call.client.conclude
+            met = []
+
+            class Both:
+                def conclude(self, call: object, final: object) -> None:
+                    conclude(call, final)
+                    met.append(task.cancel())
+
+                def settled(self, call: object) -> None: ...
+
+            call.client = Both()
+            r.fleet.release("r")
+            with pytest.raises(asyncio.CancelledError):
+                await task
+            assert met == [True]
+            await until(lambda: at_rest(r.gateway))
+            assert [tuple(s) for s in r.settled] == [("r", "issue", "served", True)]
+    run(test(), loop)
+
+
+def test_a_timeout_that_fires_in_the_turn_of_the_answer() -> None:
+    async def test() -> None:
+        async with rig() as r:
+            r.fleet.tell("r", Stall())
+            scopes: list[asyncio.Timeout] = []
+
+            async def caller() -> str:
+                try:
+                    async with asyncio.timeout(60) as scope:
+                        scopes.append(scope)
+                        await r.gateway.request("issue", request_id="r")
+                    return "answered"
+                except TimeoutError:
+                    return "timed out"
+
+            task = asyncio.create_task(caller())
+            await r.fleet.arrival("r")
+            (call,) = r.node.engine.calls.values()
+            conclude = call.client.conclude
+
+            class Both:
+                def conclude(self, call: object, final: object) -> None:
+                    conclude(call, final)
+                    scopes[0].reschedule(asyncio.get_running_loop().time())  # fires in this very turn's timers
+
+                def settled(self, call: object) -> None: ...
+
+            call.client = Both()
+            r.fleet.release("r")
+            told = await task
+            await until(lambda: at_rest(r.gateway))
+            # Whichever came first, it is told once: by the answer, or by on_settled.
+            assert (told, [s.outcome for s in r.settled]) in (("answered", []), ("timed out", ["served"]))
+            assert r.fleet.effects["r"] == 1
+    run(test())
+
+
+@pytest.mark.parametrize("loop", LOOPS)
+@pytest.mark.parametrize("turns", range(8))
+def test_cancelled_some_turns_after_it_began(turns: int, loop: Callable[[], asyncio.AbstractEventLoop]) -> None:
+    """Before its first step, with a dial that has not begun, with one under way, with a request on the wire."""
+    async def test() -> None:
+        async with rig() as r:
+            task = r.ask()
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            if not task.cancel():
+                return
+            with suppress(asyncio.CancelledError):
+                await task
+            await until(lambda: at_rest(r.gateway))
+            assert r.fleet.effects["r"] <= 1
+            if turns < 2:
+                assert not r.fleet.attempts
+            for s in r.settled:
+                assert s.may_have_run or not r.fleet.effects["r"]
+            await until(lambda: r.node.descriptors.used == len(r.node.upstream._conns) == r.nodes[0].open)
+            assert (await r.gateway.request("issue", request_id="next")).body == b"next"
+    run(test(), loop)
+
+
+def test_cancelled_while_its_body_is_being_made() -> None:
+    async def test() -> None:
+        async with rig() as r:
+            began = asyncio.Event()
+
+            async def body() -> AsyncIterator[bytes]:
+                yield b"ab"
+                began.set()
+                await asyncio.sleep(60)
+
+            task = r.ask(body=body())
+            await began.wait()
+            with pytest.raises(Conflict):
+                await r.gateway.request("issue", request_id="r")
+            task.cancel()
+            with pytest.raises(asyncio.CancelledError):
+                await task
+            assert not r.fleet.attempts and at_rest(r.gateway)
+    run(test())
+
+
+def test_a_body_that_is_still_being_made() -> None:
+    async def test() -> None:
+        async with rig() as r:
+            async def body(parts: int, size: int = 3) -> AsyncIterator[bytes]:
+                for _ in range(parts):
+                    await asyncio.sleep(0)
+                    yield b"x" * size
+
+            await r.gateway.request("issue", request_id="r", body=body(5))
+            assert r.fleet.asked["r"][0].body == b"x" * 15
+            with pytest.raises(InvalidRequest):
+                await r.gateway.request("issue", request_id="long", body=body(2, 40000))
+
+            async def never() -> AsyncIterator[bytes]:
+                await asyncio.sleep(60)
+                yield b""
+
+            with pytest.raises(DeadlineExceeded) as caught:
+                await r.gateway.request("issue", request_id="late", body=never(), deadline=0.05)
+            assert not caught.value.may_have_run
+            assert list(r.fleet.attempts) == ["r"] and at_rest(r.gateway)
+    run(test())
+
+
+def test_what_on_settled_raises_harms_nobody() -> None:
+    async def test() -> None:
+        async with fleet_of() as (fleet, nodes):
+            def fail(_: object) -> None:
+                raise RuntimeError("the application's")
+
+            async with Gateway(config(*nodes), on_settled=fail) as gateway:
+                fleet.tell("r", Stall())
+                task = asyncio.create_task(gateway.request("issue", request_id="r"))
+                await fleet.arrival("r")
+                task.cancel()
+                with pytest.raises(asyncio.CancelledError):
+                    await task
+                fleet.release("r")
+                await until(lambda: at_rest(gateway))
+                assert (await gateway.request("issue", request_id="next")).body == b"next"
+    run(test())
+
+
+@pytest.mark.parametrize("loop", LOOPS)
+def test_a_thousand_cancelled_at_once_leave_nothing(loop: Callable[[], asyncio.AbstractEventLoop]) -> None:
+    async def test() -> None:
+        async with rig() as r:  # a loop keeps a descriptor or two of its own once it has listened
+            await r.gateway.request("issue")
+        before_fds = len(os.listdir("/proc/self/fd"))
+        async with rig(2) as r:
+            limit = asyncio.all_tasks()
+            tasks = []
+            for n in range(1000):
+                rid = f"r{n}"
+                r.fleet.tell(rid, *[(Stall(),), (NotRun(),) * 9, (Reset(),), (Reply(after=0.01),), ()][n % 5])
+                tasks.append(r.ask(("look", "issue")[n % 2], rid, deadline=0.3, body=b"x" * (n % 2) * 100))
+            await until(lambda: sum(r.fleet.attempts.values()) > 200)
+            for task in tasks:
+                task.cancel()
+            results = await asyncio.gather(*tasks, return_exceptions=True)
+            cancelled = {f"r{n}" for n, x in enumerate(results) if isinstance(x, asyncio.CancelledError)}
+            assert len(cancelled) > 500
+            await until(lambda: at_rest(r.gateway))
+            await until(lambda: asyncio.all_tasks() - limit <= {t for n in r.nodes for t in n._tasks})
+            assert sorted(s.request_id for s in r.settled) == sorted(cancelled)  # each once
+            assert all(n == 1 for rid, n in r.fleet.effects.items() if int(rid[1:]) % 2)  # the unsafe ones
+            await until(lambda: not r.node.engine._timers)
+            node = r.node
+        assert node.descriptors.used == 0 and node.memory.held == 0
+        gc.collect()
+        await until(lambda: len(os.listdir("/proc/self/fd")) <= before_fds)
+    run(test(), loop)
+
+
+def test_the_end_waits_for_what_is_open_and_takes_nothing_new() -> None:
+    async def test() -> None:
+        async with fleet_of() as (fleet, nodes):
+            fleet.tell("r", Stall())
+            async with Gateway(config(*nodes)) as gateway:
+                task = asyncio.create_task(gateway.request("issue", request_id="r"))
+                await fleet.arrival("r")
+                ending = asyncio.create_task(gateway.close())
+                await asyncio.sleep(0)
+                with pytest.raises(Unusable):
+                    await gateway.request("issue")
+                fleet.release("r")
+                await ending
+                assert (await task).body == b"r"
+            assert gateway._node and gateway._node.descriptors.used == 0
+    run(test())
+
+
+def test_what_is_open_past_the_end_is_failed_and_told() -> None:
+    async def test() -> None:
+        async with fleet_of() as (fleet, nodes):
+            fleet.tell("r", Stall())
+            fleet.tell("left", Stall())
+            settled = []
+            gateway = Gateway(config(*nodes, limits={"drain": 0.05}), on_settled=settled.append)
+            await gateway.start()
+            task = asyncio.create_task(gateway.request("issue", request_id="r"))
+            left = asyncio.create_task(gateway.request("issue", request_id="left"))
+            await fleet.arrival("r")
+            await fleet.arrival("left")
+            left.cancel()
+            await gateway.close()
+            with pytest.raises(Failed) as caught:
+                await task
+            assert caught.value.may_have_run
+            assert [(s.request_id, s.outcome, s.may_have_run) for s in settled] == [("left", "failed", True)]
+            assert gateway._node and gateway._node.descriptors.used == 0
+    run(test())
+
+
+def test_a_cancel_during_the_end_ends_it_at_once() -> None:
+    async def test() -> None:
+        async with fleet_of() as (fleet, nodes):
+            fleet.tell("r", Stall())
+            inside = asyncio.Event()
+            gateway = Gateway(config(*nodes))
+
+            async def application() -> None:
+                async with gateway:
+                    tasks.append(asyncio.create_task(gateway.request("issue", request_id="r")))
+                    await fleet.arrival("r")
+                    inside.set()
+
+            tasks: list[asyncio.Task[object]] = []
+            task = asyncio.create_task(application())
+            await inside.wait()
+            await asyncio.sleep(0)
+            task.cancel()
+            with pytest.raises(asyncio.CancelledError):
+                await task
+            with pytest.raises(Failed):
+                await tasks[0]
+            assert gateway._node
+            await until(lambda: gateway._node.descriptors.used == 0)  # type: ignore[union-attr]
+            assert not gateway._node.engine._timers and not gateway._node.engine.calls
+            await gateway.close()  # again: nothing is left to do
+    run(test())
+
+
+def test_an_inner_call_never_gets_more_than_is_left() -> None:
+    async def test() -> None:
+        async with rig() as r:
+            with deadline(0.5):
+                await r.gateway.request("issue", request_id="a", deadline=5.0)
+                with deadline(9.0):  # an inner block can't lengthen it
+                    await r.gateway.request("issue", request_id="b")
+            await r.gateway.request("issue", request_id="c", deadline=0.9)
+            told = {rid: float(r.fleet.asked[rid][0].headers["x-deadline"]) for rid in "abc"}
+            assert told["a"] <= 0.49 and told["b"] <= 0.49 < told["c"]  # less a margin of 10 ms
+            with deadline(0.005), pytest.raises(DeadlineExceeded) as caught:
+                await r.gateway.request("issue", request_id="d")
+            assert not caught.value.may_have_run and not r.fleet.attempts["d"]
+    run(test())
--- /dev/null
+++ b/tests/library/test_httpx.py
@@ -0,0 +1,108 @@
+"""The transport as httpx users expect one."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import httpx
+import pytest
+
+from gateusher import Failed
+from gateusher.httpx import GatewayTransport
+from gateusher.standins.nodes import NotRun, Reply, Reset, Stall
+
+from .rig import Rig, at_rest, rig, run, until
+
+
+@asynccontextmanager
+async def client_on(r: Rig, **more: object) -> AsyncIterator[httpx.AsyncClient]:
+    async with httpx.AsyncClient(transport=GatewayTransport(r.gateway), base_url="http://nodes", **more) as client:  # type: ignore
+        yield client
+
+
+def test_a_request_and_its_answer() -> None:
+    async def test() -> None:
+        async with rig() as r, client_on(r) as client:
+            r.fleet.tell("r", Reply(201, b"made", (("Content-Type", "text/plain"), ("X-A", "1"), ("X-A", "2"))))
+            response = await client.post("/issue/new", params={"a": "b c"}, json={"x": 1},
+                                         headers={"X-Request-Id": "r", "Authorization": "Basic a"})
+            assert (response.status_code, response.text) == (201, "made")
+            assert response.headers.get_list("x-a") == ["1", "2"]
+            (asked,) = r.fleet.asked["r"]
+            assert (asked.method, asked.target, asked.body) == ("POST", "/issue/new?a=b+c", b'{"x":1}')
+            assert asked.headers["content-type"] == "application/json"
+            assert asked.headers["authorization"] == "Basic a" and asked.headers["host"] == "nodes"
+    run(test())
+
+
+@pytest.mark.parametrize("follow", [False, True])
+def test_a_redirect_is_the_clients_to_follow(follow: bool) -> None:
+    async def test() -> None:
+        async with rig() as r, client_on(r, follow_redirects=follow) as client:
+            r.fleet.tell("r", Reply(302, headers=(("Location", "/look/elsewhere"),)))
+            response = await client.get("/look/here", headers={"X-Request-Id": "r"})
+            assert response.status_code == (200 if follow else 302)
+            assert [h.status_code for h in response.history] == ([302] if follow else [])
+            assert [a.target for a in r.fleet.asked["r"]] == ["/look/here", "/look/elsewhere"][:1 + follow]
+    run(test())
+
+
+def test_a_stream_up_and_down() -> None:
+    async def test() -> None:
+        async with rig() as r, client_on(r) as client:
+            async def up() -> AsyncIterator[bytes]:
+                for _ in range(4):
+                    await asyncio.sleep(0)
+                    yield b"xy"
+
+            r.fleet.tell("r", Reply(200, b"d" * 50000, parts=20))
+            async with client.stream("POST", "/issue", content=up(), headers={"X-Request-Id": "r"}) as response:
+                parts = [part async for part in response.aiter_bytes(1000)]
+            assert b"".join(parts) == b"d" * 50000 and len(parts) == 50
+            assert r.fleet.asked["r"][0].body == b"xy" * 4
+            assert "transfer-encoding" not in r.fleet.asked["r"][0].headers
+    run(test())
+
+
+def test_errors_in_httpxs_own_terms() -> None:
+    async def test() -> None:
+        async with rig() as r, client_on(r, timeout=httpx.Timeout(0.2)) as client:
+            r.fleet.tell("late", Stall())
+            with pytest.raises(httpx.ReadTimeout) as late:
+                await client.post("/issue", headers={"X-Request-Id": "late"})
+            r.fleet.tell("reset", Reset())
+            with pytest.raises(httpx.ReadError) as reset:
+                await client.post("/issue", headers={"X-Request-Id": "reset"})
+            for caught in (late, reset):
+                assert isinstance(caught.value.__cause__, Failed) and caught.value.__cause__.may_have_run
+            with pytest.raises(httpx.LocalProtocolError):
+                await client.post("/strange")
+            r.fleet.tell("full", *([NotRun()] * 9))
+            response = await client.post("/issue", headers={"X-Request-Id": "full"})
+            assert response.status_code == 503 and 0 < float(response.headers["retry-after"]) <= 2
+            with pytest.raises(httpx.HTTPStatusError):
+                response.raise_for_status()
+
+            async def never() -> AsyncIterator[bytes]:
+                await asyncio.sleep(60)
+                yield b""
+
+            with pytest.raises(httpx.ConnectTimeout):  # nothing was sent
+                await client.post("/issue", content=never(), headers={"X-Request-Id": "never"})
+            assert not r.fleet.attempts["never"]
+            await until(lambda: at_rest(r.gateway))
+    run(test())
+
+
+def test_no_timeout_leaves_the_classs_deadline_and_closing_the_client_the_gateway() -> None:
+    async def test() -> None:
+        async with rig() as r:
+            async with client_on(r, timeout=None) as client:
+                await client.post("/issue", headers={"X-Request-Id": "r"})
+                await client.get("/x/y", extensions={"gateusher_class": "look"})
+            assert 0.5 < float(r.fleet.asked["r"][0].headers["x-deadline"]) <= 1.0
+            await r.gateway.request("issue")
+        async with client_on(r) as client:
+            with pytest.raises(httpx.ConnectError):
+                await client.post("/issue")
+    run(test())
--- /dev/null
+++ b/tests/library/test_isolation.py
@@ -0,0 +1,265 @@
+"""Two in one process, forks, ended loops, threads, and what the library leaves alone."""
+
+import asyncio
+import logging
+import os
+import signal
+import subprocess
+import sys
+import threading
+from contextlib import suppress
+from pathlib import Path
+
+import pytest
+import uvloop
+
+from gateusher import Budget, Conflict, Gateway, InvalidRequest, Refused, Unusable, blocking
+from gateusher.base.limits import SPARE_DESCRIPTORS
+from gateusher.client import deadline
+from gateusher.node import MEMORY_SHARE
+from gateusher.standins.nodes import Fleet, Node, Stall
+
+from .rig import config, fleet_of, rig, run, until
+
+
+def test_two_on_one_loop_know_nothing_of_each_other() -> None:
+    async def test() -> None:
+        async with fleet_of() as (one, nodes_one), fleet_of() as (two, nodes_two), \
+                Gateway(config(*nodes_one)) as a, Gateway(config(*nodes_two, classes={
+                    "other": {"effect": "unsafe", "aim": 1.0, "deadline": 2.0}})) as b:
+            one.tell("same", Stall())
+            task = asyncio.create_task(a.request("issue", request_id="same"))
+            await one.arrival("same")
+            assert (await b.request("other", request_id="same")).body == b"same"  # ids are each one's own
+            with pytest.raises(InvalidRequest):
+                await b.request("issue")
+            with pytest.raises(Conflict):
+                await a.request("issue", request_id="same")
+            one.release("same")
+            await task
+            assert (one.by_node.total(), two.by_node.total()) == (1, 1)
+    run(test())
+
+
+def test_the_same_seed_draws_the_same_whatever_the_other_draws() -> None:
+    async def test() -> None:
+        async with fleet_of(4) as (_, nodes):
+            async def draws(others: int) -> list[float]:
+                async with Gateway(config(*nodes)) as a, Gateway(config(*nodes, seed=99)) as b:
+                    for n in range(others):
+                        await b.request("look", request_id=f"b{n}")
+                    assert a._node
+                    return [a._node.engine._balancer.rng.random() for _ in range(5)]
+
+            assert await draws(0) == await draws(20)
+    run(test())
+
+
+def test_two_loops_in_two_threads_and_one_ends_under_its_gateway() -> None:
+    ended, errors = threading.Event(), list[BaseException]()
+    gateways: list[Gateway] = []
+
+    def first() -> None:
+        async def test() -> None:
+            async with fleet_of() as (_, nodes):
+                gateway = Gateway(config(*nodes))
+                await gateway.start()
+                gateways.append(gateway)
+                await gateway.request("issue", request_id="a")
+
+        loop = asyncio.new_event_loop()
+        try:
+            loop.run_until_complete(test())
+        except BaseException as error:
+            errors.append(error)
+        finally:
+            loop.close()  # with the gateway still open
+            ended.set()
+
+    async def second() -> None:
+        async with rig() as r:
+            await r.gateway.request("issue", request_id="a")
+            thread = threading.Thread(target=first)
+            thread.start()
+            await asyncio.to_thread(ended.wait)
+            thread.join()
+            for n in range(20):
+                await r.gateway.request("issue", request_id=f"b{n}")
+            with pytest.raises(Unusable, match="another event loop"):
+                await gateways[0].request("issue")
+
+    run(second(), uvloop.new_event_loop)
+    assert not errors
+
+
+def test_a_shared_budget_is_one_and_is_given_back() -> None:
+    async def test() -> None:
+        budget = Budget(memory_mb=MEMORY_SHARE * 100_000 / 1048576, sockets=SPARE_DESCRIPTORS + 3)
+        async with rig(budget=budget) as one, rig(budget=budget) as two:
+            for r in (one, two):
+                r.fleet.tell("r", Stall())
+            first = one.ask(body=b"x" * 60_000)
+            await one.fleet.arrival("r")
+            with pytest.raises(Refused):  # of 100,000 bytes 60,000 are the other's
+                await two.gateway.request("issue", body=b"x" * 60_000)
+            second = two.ask(body=b"x" * 30_000)
+            await two.fleet.arrival("r")
+            assert (budget.memory.used, budget.sockets.used) == (90_000, 2)
+            for r, task in ((one, first), (two, second)):
+                r.fleet.release("r")
+                await task
+            assert (budget.memory.used, one.node.memory.held, two.node.memory.held) == (0, 0, 0)
+        assert budget.sockets.used == 0
+    run(test())
+
+
+def test_a_child_after_fork_gets_one_clear_error() -> None:
+    async def test() -> None:
+        async with rig() as r:
+            await r.gateway.request("issue", request_id="a")
+            reader, writer = os.pipe()
+            pid = os.fork()
+            if pid == 0:  # the child: say what happened and leave without any clean-up of the parent's
+                said = b"nothing"
+                with suppress(BaseException):
+                    try:
+                        coroutine = r.gateway.request("issue", request_id="b")
+                        coroutine.send(None)
+                    except Unusable as error:
+                        said = str(error).encode()
+                    close = r.gateway.close()
+                    with suppress(StopIteration):
+                        close.send(None)
+                        said += b" and close did something"
+                os.write(writer, said)
+                os._exit(0)
+            os.close(writer)
+            said = await asyncio.to_thread(os.read, reader, 1000)
+            os.close(reader)
+            os.waitpid(pid, 0)
+            assert said.startswith(f"the gateway belongs to process {os.getpid()}, which forked".encode())
+            assert b"close did" not in said
+            assert (await r.gateway.request("issue", request_id="c")).body == b"c"
+            assert r.nodes[0].open == r.nodes[0].connections and not r.fleet.attempts["b"]  # none was cut
+    run(test())
+
+
+def test_it_leaves_the_process_as_it_found_it() -> None:
+    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    policy, root = asyncio.get_event_loop_policy(), list(logging.getLogger().handlers)
+
+    async def test() -> None:
+        handlers = [signal.getsignal(s) for s in numbers]
+        async with rig() as r:
+            await r.gateway.request("issue")
+            assert handlers == [signal.getsignal(s) for s in numbers]
+        assert handlers == [signal.getsignal(s) for s in numbers]
+    run(test())
+    assert asyncio.get_event_loop_policy() is policy
+    assert logging.getLogger().handlers == root
+
+
+def test_an_import_takes_no_extras() -> None:
+    code = ("import sys, gateusher; gateusher.Gateway; gateusher.ConfigError\n"
+            "heavy = {'httpx', 'starlette', 'fastapi', 'rich', 'msgspec', 'pydantic', 'aiohttp', 'uvloop'}\n"
+            "print(sorted(heavy & set(sys.modules)))\n"
+            "import gateusher.asgi\nprint(sorted(heavy & set(sys.modules)))")
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True,
+                          cwd=Path(__file__).parents[2])
+    assert done.stdout.split() == ["[]", "[]"]
+
+
+def test_what_is_not_open_says_so() -> None:
+    async def test() -> None:
+        async with fleet_of() as (_, nodes):
+            gateway = Gateway(config(*nodes))
+            with pytest.raises(Unusable, match="not open"):
+                await gateway.request("issue")
+            async with gateway:
+                with pytest.raises(Unusable, match="before"):
+                    await gateway.start()
+            with pytest.raises(Unusable, match="ended"):
+                await gateway.request("issue")
+    run(test())
+
+
+# -- threads
+
+class Served:
+    """Nodes on a loop in a thread of their own, for callers that block."""
+
+    def __enter__(self) -> "Served":
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.loop.run_forever)
+        self.thread.start()
+        self.fleet = Fleet()
+        self.node = Node(self.fleet, "n0")
+        asyncio.run_coroutine_threadsafe(self.node.start(), self.loop).result(10)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.loop.call_soon_threadsafe(self.node.kill)
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join()
+        self.loop.close()
+
+
+@pytest.mark.parametrize("loop_factory", [asyncio.new_event_loop, uvloop.new_event_loop])
+def test_threads_share_a_blocking_gateway(loop_factory: object) -> None:
+    with Served() as served, blocking.Gateway(config(served.node), loop_factory=loop_factory) as gateway:  # type: ignore
+        bodies: list[bytes] = []
+
+        def work(name: int) -> None:
+            for n in range(10):
+                bodies.append(gateway.request("issue", request_id=f"t{name}-{n}", body=[b"a", b"b"]).body)
+
+        threads = [threading.Thread(target=work, args=(i,)) for i in range(8)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        assert sorted(bodies) == sorted(f"t{i}-{n}".encode() for i in range(8) for n in range(10))
+        assert set(served.fleet.effects.values()) == {1}
+        assert served.fleet.asked["t0-0"][0].body == b"ab"
+        with pytest.raises(InvalidRequest):
+            gateway.request("strange")
+        with deadline(0.2):  # the thread's own
+            gateway.request("issue", request_id="d")
+        assert float(served.fleet.asked["d"][0].headers["x-deadline"]) <= 0.19
+    with pytest.raises(Unusable):
+        gateway.request("issue")
+    assert not [t for t in threading.enumerate() if t.name == "gateusher"]
+
+
+def test_a_blocking_gateway_after_fork() -> None:
+    with Served() as served, blocking.Gateway(config(served.node)) as gateway:
+        reader, writer = os.pipe()
+        pid = os.fork()
+        if pid == 0:
+            said = b"nothing"
+            with suppress(BaseException):
+                try:
+                    gateway.request("issue")
+                except Unusable as error:
+                    said = str(error).encode()
+                gateway.close()
+            os.write(writer, said)
+            os._exit(0)
+        os.close(writer)
+        assert b"forked" in os.read(reader, 1000)
+        os.close(reader)
+        os.waitpid(pid, 0)
+        assert gateway.request("issue", request_id="x").body == b"x"
+
+
+def test_its_loop_can_be_left_open_without_harm() -> None:
+    """A gateway that is never closed keeps nobody from ending."""
+    async def test() -> None:
+        async with fleet_of() as (_, nodes):
+            gateway = Gateway(config(*nodes))
+            await gateway.start()
+            await gateway.request("issue")
+            assert gateway._node
+            node = gateway._node
+            await until(lambda: not node.engine.calls)
+    run(test())
