--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,110 @@
+"""Configuration files: every fault at once, each with its path and what is allowed."""
+
+import json
+import subprocess
+import sys
+import tomllib
+from copy import deepcopy
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from gateusher.config import file, platform
+from gateusher.config.model import ConfigError
+from gateusher.policy.interface import Effect, Scope
+
+from .net import configuration
+
+ROOT = Path(__file__).parent.parent
+GOOD: dict[str, Any] = {"classes": {"look": {"effect": "safe", "aim": 1.0, "deadline": 2.0}},
+                        "nodes": [{"name": "a", "address": "127.0.0.1:1"}]}
+
+FAULTS: dict[str, tuple[dict[str, Any], list[str]]] = {
+    "unknown, with the nearest": ({"nmae": "x"}, ["nmae: unknown; did you mean 'name'?"]),
+    "unknown, near nothing": ({"limits": {"qqqq": 1}}, ["limits.qqqq: unknown; allowed are memory_mb, sockets"]),
+    "wrong type": ({"limits": {"sockets": "many"}}, ["limits.sockets: Expected `int`, got `str`, found 'many'"]),
+    "out of range": ({"limits": {"memory_mb": 0}}, ["limits.memory_mb: Expected `float` >= 1.0, found 0"]),
+    "not a choice": ({"answers": "all"}, ["answers: one of application, ok, found 'all'"]),
+    "missing": ({"classes": {"a": {"effect": "safe", "aim": 1}}}, ["classes.a.deadline: missing"]),
+    "no classes": ({"classes": {}}, ["classes: at least one is wanted"]),
+    "not a table": ({"classes": 3}, ["classes: Expected `object`, got `int`, found 3"]),
+    "deadline below the aim": ({"classes": {"a": {"effect": "safe", "aim": 2, "deadline": 1}}},
+                               ["classes.a.deadline: no less than the aim, 2, found 1"]),
+    "a method that contradicts": (
+        {"classes": {"a": {"effect": "unsafe", "aim": 1, "deadline": 1, "methods": ["GET"]}}},
+        ["classes.a.methods[0]: DELETE or PATCH or POST or PUT where the effect is unsafe, found 'GET'"]),
+    "keyed without a window": ({"classes": {"a": {"effect": "keyed", "aim": 1, "deadline": 1}}},
+                               ["classes.a.window: more than 0 where the effect is keyed, found 0"]),
+    "a name that no path can hold": ({"classes": {"a/b": {"effect": "safe", "aim": 1, "deadline": 1}}},
+                                     ["classes.a/b: a name is ASCII"]),
+    "nodes and discovery": ({"discovery": {"address": "127.0.0.1:1"}}, ["nodes: either nodes or discovery"]),
+    "a name and no address": ({"nodes": [{"name": "a", "address": "localhost:80"}]},
+                              ["nodes[0].address: an address ip:port"]),
+    "two of one name": ({"nodes": [{"name": "a", "address": "127.0.0.1:1"}, {"name": "a", "address": "[::1]:2"}]},
+                        ["nodes[1].name: another node has this name, 'a'"]),
+    "a port that is none": ({"listen": "127.0.0.1:0"}, ["listen: an address ip:port, not a port"]),
+    "many at once": ({"nmae": 1, "listen": "x", "answers": 3, "limits": {"idle": -1}},
+                     ["nmae: unknown", "answers: one of", "limits.idle: Expected", "listen: an address"]),
+}
+
+
+@pytest.mark.parametrize("name", FAULTS)
+def test_faults(name: str) -> None:
+    more, wanted = FAULTS[name]
+    with pytest.raises(ConfigError) as caught:
+        file.parse({**GOOD, **more})
+    assert len(caught.value.faults) == len(wanted)
+    for fault, want in zip(sorted(caught.value.faults), sorted(wanted), strict=True):
+        assert fault.startswith(want)
+
+
+def test_what_stands_in_a_file_arrives() -> None:
+    with open(ROOT / "deploy" / "gateusher.example.toml", "rb") as source:
+        conf = file.parse(tomllib.load(source))
+    assert conf.listen == ("127.0.0.1", 8080) and conf.discovery is None and conf.authority == "nodes.internal"
+    look, booking, issue = conf.settings.classes
+    assert (look.effect, booking.effect, issue.effect) == (Effect.SAFE, Effect.KEYED, Effect.UNSAFE)
+    assert (booking.aim_ms, booking.deadline_ms, booking.window_ms, booking.scope) == (2000, 6000, 4000, Scope.ALL)
+    assert (issue.worth, issue.late_worth) == (2.0, 1.0)  # past the aim an answer is still of use
+    assert conf.methods == (frozenset({b"GET"}), frozenset({b"POST", b"PUT"}), frozenset({b"POST"}))
+    assert conf.names.tenants == {b"hengda": 0, b"merged-a": 1}
+    assert conf.settings.report_fields == ("waiting",) and conf.settings.cold_share == 0.3
+    assert [h["dial"] for h in conf.known["hosts"]] == ["127.0.0.1:9001", "127.0.0.1:9002"]
+    assert 404 in conf.serves and 500 not in conf.serves
+
+
+def test_all_faults_of_the_platforms_file_at_once() -> None:
+    conf = deepcopy(configuration([], 1, seed="zz", listen="here"))
+    conf["limits"] = {"memory_mb": -1}
+    conf["settings"]["lanes"][0]["effect"] = "perhaps"
+    conf["settings"]["lanes"][1]["give_up_ms"] = None
+    conf["settings"]["bounds"]["max_attempts"] = "six"
+    with pytest.raises(ConfigError) as caught:
+        platform.parse(conf, {})
+    assert sorted(f.split(": ")[0] for f in caught.value.faults) == [
+        "limits.memory_mb", "listen", "seed", "settings.bounds.max_attempts", "settings.lanes[0].effect",
+        "settings.lanes[1].give_up_ms"]
+
+
+def check(path: Path) -> tuple[int, list[str]]:
+    done = subprocess.run([sys.executable, "-m", "gateusher", "check", str(path)], cwd=ROOT, capture_output=True,
+                          text=True)
+    return done.returncode, done.stdout.splitlines()
+
+
+def test_check(tmp_path: Path) -> None:
+    path = tmp_path / "a.toml"
+    path.write_text('nmae = "x"\nlisten = "y"\n[classes.a]\neffect = "safe"\naim = 1\ndeadline = 1\n')
+    code, lines = check(path)
+    assert code == 2
+    assert [line.split(":")[0] for line in lines] == ["nmae", "nodes", "listen"]
+    path.write_text("half = [")
+    assert check(path)[0] == 2
+    assert check(tmp_path / "none.toml")[0] == 2
+    path = tmp_path / "b.json"
+    path.write_text(json.dumps(configuration([], 1)))
+    assert check(path)[0] == 0
+    path.write_text(json.dumps(configuration([], 1, seed=3, name=7)))
+    assert check(path) == (2, ["seed: str wanted, found 3", "name: str wanted, found 7"])
+    assert check(ROOT / "deploy" / "gateusher.example.toml")[0] == 0
