--- a/gateusher/config/model.py
+++ b/gateusher/config/model.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import ipaddress
-from dataclasses import dataclass
+import socket
 from hashlib import blake2b
-from typing import Any
+from typing import Any, NamedTuple
 
 from ..policy.interface import Effect, Settings
 
@@ -22,8 +21,7 @@
         self.faults = faults
 
 
-@dataclass(frozen=True, slots=True)
-class Names:
+class Names(NamedTuple):
     """Indexes of the settings' names; a zone or kind that they don't name takes the spare index."""
 
     classes: dict[bytes, int]
@@ -37,8 +35,7 @@
     return frozenset({b"GET"} if effect is Effect.SAFE else {b"POST"})
 
 
-@dataclass(frozen=True, slots=True)
-class Config:
+class Config(NamedTuple):
     """All that holds from the start on."""
 
     name: str
@@ -64,7 +61,10 @@
         raise ValueError(f"not an address: {text!r}")
     host, _, port = text.rpartition(":")
     host = host.removeprefix("[").removesuffix("]")
-    ipaddress.ip_address(host)
+    try:
+        socket.inet_pton(socket.AF_INET6 if ":" in host else socket.AF_INET, host)
+    except OSError:
+        raise ValueError(f"not an IP address: {host!r}") from None
     if not (port.isascii() and port.isdigit() and 0 < int(port) < 65536):
         raise ValueError(f"not a port: {port!r}")
     return host, int(port)
--- a/gateusher/core/engine.py
+++ b/gateusher/core/engine.py
@@ -9,9 +9,8 @@
 
 import traceback
 from collections import deque
-from collections.abc import Callable
 from enum import Enum
-from typing import NamedTuple, Protocol
+from typing import TYPE_CHECKING, NamedTuple
 
 from ..base.clock import Clock
 from ..base.limits import Bytes
@@ -19,7 +18,10 @@
 from ..policy import Balancer
 from ..policy.interface import (Action, AttemptEnded, Cancel, CloseIdle, Departed, Effect, Event, Fail, Outcome,
                                 Probe, Probed, Refuse, Request, Send, SetTimer, Settings, TimerFired, Watch)
-from ..upstream.interface import Attempt, Headers, Message, Reply, Sender
+from ..upstream.interface import Attempt, Headers, Message, Reply
+
+if TYPE_CHECKING:  # types alone, which a start need not make
+    from .ports import Asking, Sender, Source, Timer, Timers
 
 COME_BACK_MS = 250.0  # what a refusal advises where the module wishes nothing
 OVERDUE_MS = 10.0  # how long after its deadline a request that the module still holds is failed
@@ -27,23 +29,6 @@
 NEVER_RAN = frozenset({Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT})
 
 
-class Timer(Protocol):
-    def cancel(self) -> None: ...
-
-
-class Timers(Protocol):
-    """What the core is handed to be woken: `asyncio.AbstractEventLoop.call_later`, or a virtual one."""
-
-    def __call__(self, delay: float, callback: Callable[..., object], /, *args: object) -> Timer: ...
-
-
-class Source(Protocol):
-    """Where the list comes from, as far as the module may start and stop it."""
-
-    def watch(self) -> None: ...
-    def stop(self) -> None: ...
-
-
 class Fault(Enum):
     """Why a request can't be taken: it has reached no endpoint and never will."""
 
@@ -73,16 +58,6 @@
     may_have_run: bool = False      # whether an endpoint may have begun it, as far as is known
 
 
-class Asking(Protocol):
-    """The client's side of a request, as the core sees it."""
-
-    def conclude(self, call: Call, final: Final) -> None:
-        """The final answer; called once, unless the client left first.  The core is done with it after that."""
-
-    def settled(self, call: Call) -> None:
-        """Nothing is out for this request any more, whoever has left; called once for each call taken."""
-
-
 class Call(Message):
     """One request of a client: from its last byte until it is answered and its attempts are over."""
 
--- /dev/null
+++ b/gateusher/core/ports.py
@@ -0,0 +1,58 @@
+"""What the core asks of those around it: types for the checker, nothing that runs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+from ..discovery.catalog import HostLine
+from ..policy.interface import Outcome
+from ..upstream.interface import Attempt
+from .engine import Call, Final
+
+
+class Timer(Protocol):
+    def cancel(self) -> None: ...
+
+
+class Timers(Protocol):
+    """What the core is handed to be woken: `asyncio.AbstractEventLoop.call_later`, or a virtual one."""
+
+    def __call__(self, delay: float, callback: Callable[..., object], /, *args: object) -> Timer: ...
+
+
+class Source(Protocol):
+    """Where the list comes from, as far as the module may start and stop it."""
+
+    def watch(self) -> None: ...
+    def stop(self) -> None: ...
+
+
+class Asking(Protocol):
+    """The client's side of a request, as the core sees it."""
+
+    def conclude(self, call: Call, final: Final) -> None:
+        """The final answer; called once, unless the client left first.  The core is done with it after that."""
+
+    def settled(self, call: Call) -> None:
+        """Nothing is out for this request any more, whoever has left; called once for each call taken."""
+
+
+class Sender(Protocol):
+    """The connections to endpoints."""
+
+    def start(self, attempt: Attempt) -> None:
+        """Take an attempt; its `ended` is called once, at the earliest within this call."""
+
+    def give_up(self, attempt: Attempt, outcome: Outcome) -> None:
+        """End an attempt with this outcome, and with it its connection; nothing where it has ended."""
+
+    def close_idle(self, eid: int) -> None:
+        """Close the connections to this endpoint that carry nothing."""
+
+    def update(self, lines: Iterable[HostLine], whole: bool) -> None:
+        """News of the list: where endpoints listen, and which may be sent to."""
+
+    @property
+    def pulls_reports(self) -> bool:
+        """Whether load reports are the bodies of probes' answers."""
--- a/gateusher/listeners/http.py
+++ b/gateusher/listeners/http.py
@@ -11,7 +11,6 @@
 import select
 import socket
 from collections import deque
-from http import HTTPStatus
 from typing import cast
 
 import httptools
@@ -38,7 +37,11 @@
 CLOSE_NEW_S = 0.65           # connections on which nothing has come by then stay unused
 END_S = 3.4                  # SIGKILL comes 3.7 s after SIGTERM at the earliest
 
-REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
+# Others, which only nodes give, go on without a phrase: it is optional and says nothing (RFC 9112, 4).
+REASONS = {200: b"OK", 400: b"Bad Request", 405: b"Method Not Allowed", 408: b"Request Timeout",
+           409: b"Conflict", 413: b"Content Too Large", 429: b"Too Many Requests",
+           431: b"Request Header Fields Too Large", 502: b"Bad Gateway", 503: b"Service Unavailable",
+           504: b"Gateway Timeout"}
 STATUS = {Ending.REFUSED: 503, Ending.FAILED: 502, Ending.TIMED_OUT: 504}
 FAULTS = {fault: 400 for fault in Fault} | {Fault.METHOD: 405, Fault.CONFLICT: 409}
 # What the sidecar acts on: where one is there twice, nobody can tell which of them is meant.
@@ -293,7 +296,7 @@
             call.keep = False
         framing = b"Content-Length: %d\r\n" % length if length >= 0 else b""
         return b"HTTP/1.1 %d %b\r\n%b%b%b\r\n" % (
-            status, REASONS.get(status, b"Status"), headers, framing, b"" if call.keep else b"Connection: close\r\n")
+            status, REASONS.get(status, b""), headers, framing, b"" if call.keep else b"Connection: close\r\n")
 
     def _answer(self, call: Call, status: int, retry_after_ms: float = 0.0) -> None:
         advice = b""
--- a/gateusher/node.py
+++ b/gateusher/node.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 
 from .base.clock import Clock
 from .base.limits import Bytes, Descriptors, Pool
 from .config.model import Config
 from .core.engine import Engine
 from .discovery.catalog import Discovery
-from .discovery.fixed import Fixed
 from .upstream.http import Upstream
 from .upstream.reports import reader
 
+if TYPE_CHECKING:
+    from .discovery.fixed import Fixed
+
 SWEEP_S = 0.1
 MEMORY_SHARE = 3    # one part in so many of the memory limit may be bodies and answers
 
@@ -36,6 +39,8 @@
             self.discovery = Discovery(config.discovery, config.names, self.engine.deliver, self.upstream.update,
                                        self.upstream.knows)
         else:
+            from .discovery.fixed import Fixed  # noqa: PLC0415 - the platform's daemon starts without it
+
             self.discovery = Fixed(config.names, self.engine.deliver, self.upstream.update, self.upstream.knows)
         self.engine.upstream, self.engine.discovery = self.upstream, self.discovery
         self.discovery.cached(config.known)
@@ -50,7 +55,7 @@
         """Take up a new configuration: where the list comes from.  All else holds from the start on."""
         if config.discovery and isinstance(self.discovery, Discovery):
             self.discovery.move(config.discovery)
-        elif not config.discovery and isinstance(self.discovery, Fixed):
+        elif not config.discovery and not isinstance(self.discovery, Discovery):
             self.discovery.replace(config.known)
 
     def close(self) -> None:
--- a/gateusher/upstream/http.py
+++ b/gateusher/upstream/http.py
@@ -298,11 +298,15 @@
         self.loop = asyncio.get_running_loop()
         self._dial_s = settings.dial_timeout_ms / 1000
         self._idle_ms = settings.idle_ms * IDLE_PART
-        self.pulls_reports = settings.reports_pulled
+        self._pulled = settings.reports_pulled
         self._hosts: dict[int, Host] = {}
         self._conns: set[Connection] = set()
         descriptors.reclaimers.append(self._reclaim)
 
+    @property
+    def pulls_reports(self) -> bool:
+        return self._pulled
+
     # -- the list
 
     def knows(self, line: HostLine) -> bool:
@@ -391,7 +395,7 @@
     def report(self, attempt: Attempt, outcome: Outcome, text: bytes, reply: Reply = NO_REPLY) -> None:
         """Hand an attempt back with its outcome."""
         values = self._read_report(text) if text else ()
-        if attempt.to_any and self.pulls_reports and reply.body and not values:
+        if attempt.to_any and self._pulled and reply.body and not values:
             values = self._read_report(reply.body.strip())
         attempt.ended(outcome, values, self.clock.now() - attempt.sent_ms, reply)
 
--- a/gateusher/upstream/interface.py
+++ b/gateusher/upstream/interface.py
@@ -7,10 +7,8 @@
 
 import asyncio
 from abc import ABC, abstractmethod
-from collections.abc import Iterable
-from typing import TYPE_CHECKING, NamedTuple, Protocol
+from typing import TYPE_CHECKING, NamedTuple
 
-from ..discovery.catalog import HostLine
 from ..policy.interface import Outcome
 
 if TYPE_CHECKING:
@@ -63,23 +61,3 @@
     @abstractmethod
     def ended(self, outcome: Outcome, report: tuple[float, ...], elapsed_ms: float, reply: Reply) -> None:
         """The one outcome; `reply` is whole where it is OK, and `NO_REPLY` otherwise."""
-
-
-class Sender(Protocol):
-    """What the core asks of the connections to endpoints."""
-
-    def start(self, attempt: Attempt) -> None:
-        """Take an attempt; its `ended` is called once, at the earliest within this call."""
-
-    def give_up(self, attempt: Attempt, outcome: Outcome) -> None:
-        """End an attempt with this outcome, and with it its connection; nothing where it has ended."""
-
-    def close_idle(self, eid: int) -> None:
-        """Close the connections to this endpoint that carry nothing."""
-
-    def update(self, lines: Iterable[HostLine], whole: bool) -> None:
-        """News of the list: where endpoints listen, and which may be sent to."""
-
-    @property
-    def pulls_reports(self) -> bool:
-        """Whether load reports are the bodies of probes' answers."""
--- a/tests/conformance/faces.py
+++ b/tests/conformance/faces.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
 import httpx
@@ -97,7 +97,7 @@
 class DaemonFace(Face):
     @asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
-        sidecar = Sidecar(replace(self.config, listen=("127.0.0.1", 0)))
+        sidecar = Sidecar(self.config._replace(listen=("127.0.0.1", 0)))
         self.node = sidecar.node
         self._caller = Caller(sidecar.server.port)
         try:
--- a/tests/net.py
+++ b/tests/net.py
@@ -5,7 +5,6 @@
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
-from dataclasses import replace
 from typing import Any
 
 from gateusher.config import platform as config
@@ -131,7 +130,7 @@
     where = discovery or Discovery(hosts)
     await where.start()
     conf = config.parse(configuration(hosts, where.port, **more), {})
-    sidecar = Sidecar(replace(conf, listen=("127.0.0.1", 0)))
+    sidecar = Sidecar(conf._replace(listen=("127.0.0.1", 0)))
     try:
         yield Rig(sidecar)
     finally:
