--- a/bench/library.py
+++ b/bench/library.py
@@ -119,7 +119,7 @@
         def came(self, rid: str, node: str, asked: Any) -> None:
             """Nothing is kept: a bench's node must not grow."""
 
-        def run(self, rid: str, zone: str, asked: Any, now: float) -> None: ...
+        def run(self, rid: str, node: str, zone: str, asked: Any, now: float) -> None: ...
 
     node = Node(Plain(), "n")
     await node.start()
--- a/gateusher/cli/first.py
+++ b/gateusher/cli/first.py
@@ -208,17 +208,18 @@
 
     def tables(self) -> Group:
         classes = Table(title=f"{self.at:.1f} of {self._seconds:g} s")
-        for column in ("class", *KEYS):
+        twice = Counter(rid.rpartition("-")[0] for rid in self.fleet.doubles)
+        for column in ("class", "asked", *KEYS[1:], "twice"):
             classes.add_column(column.replace("_", " "), justify="left" if column == "class" else "right")
         for name, count in self.tally.by_class.items():
-            classes.add_row(name, *(str(count[k]) for k in KEYS))
-        classes.add_row("all", *(str(self.tally.total(k)) for k in KEYS), style="bold")
+            classes.add_row(name, *(str(count[k]) for k in KEYS), str(twice[name]))
+        classes.add_row("all", *(str(self.tally.total(k)) for k in KEYS), str(twice.total()), style="bold")
         nodes = Table()
-        for column in ("node", "state", "work ms", "attempts", "waiting"):
+        for column in ("node", "state", "work ms", "attempts", "ran", "waiting"):
             nodes.add_column(column, justify="left" if column in ("node", "state") else "right")
         for name, node in self.nodes.items():
             nodes.add_row(name, self.states[name], f"{node.work * 1000:g}", str(self.fleet.by_node[name]),
-                          str(node.load))
+                          str(self.fleet.ran_at[name]), str(node.load))
         return Group(classes, nodes)
 
     def result(self) -> dict[str, Any]:
--- a/gateusher/core/engine.py
+++ b/gateusher/core/engine.py
@@ -61,8 +61,8 @@
 class Call(Message):
     """One request of a client: from its last byte until it is answered and its attempts are over."""
 
-    __slots__ = ("attempts", "client", "cls", "deadline", "key", "keep", "keyed", "last", "name", "over",
-                 "ran", "repeat", "reply", "rid", "served", "tenant", "timer", "tries", "work_ms")
+    __slots__ = ("attempts", "client", "cls", "deadline", "key", "keyed", "last", "name", "over", "ran", "repeat",
+                 "rid", "served", "tenant", "timer", "tries", "work_ms")
 
     def __init__(self, client: Asking, method: bytes, target: bytes, headers: Headers, body: bytes | bytearray,
                  cls: int = 0, name: bytes = b"") -> None:
@@ -79,8 +79,6 @@
         self.last = Outcome.NOT_SENT  # of the attempt that ended last
         self.attempts: dict[int, Sent] = {}  # those without an outcome
         self.timer: Timer | None = None
-        self.keep = True                     # the listener's own: the client may send more on its connection
-        self.reply: bytes | None = None      # the listener's own: what is still to be written
 
     @property
     def may_have_run(self) -> bool:
--- a/gateusher/listeners/http.py
+++ b/gateusher/listeners/http.py
@@ -67,6 +67,18 @@
         self.status = status
 
 
+class _Asked(Call):
+    """A request and its place in the order of its connection's answers."""
+
+    __slots__ = ("keep", "reply")
+
+    def __init__(self, client: Client, method: bytes, target: bytes, headers: Headers, body: bytes | bytearray,
+                 keep: bool) -> None:
+        super().__init__(client, method, target, headers, body)
+        self.keep = keep                  # the client may send another on its connection
+        self.reply: bytes | None = None   # what is still to be written
+
+
 class Client(asyncio.Protocol):
     """A connection of the application's.
 
@@ -78,7 +90,7 @@
         self._server = server
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
-        self._queue: deque[Call] = deque()  # requests in the order of their coming
+        self._queue: deque[_Asked] = deque()  # requests in the order of their coming
         self._blocked = False     # the client takes no more at present
         self._deaf = False        # a last answer is on its way: nothing more is read
         self._used = False        # a request has begun here before
@@ -232,8 +244,7 @@
         self._in_message = False
         keep = bool(self._parser.should_keep_alive()) and self._parser.get_http_version() == "1.1"
         body, self._body = self._body, bytearray()
-        call = Call(self, self._parser.get_method(), self._url, self._headers, body)
-        call.keep = keep
+        call = _Asked(self, self._parser.get_method(), self._url, self._headers, body, keep)
         self._queue.append(call)
         status = self._fault or self._submit(call)
         if status:
@@ -241,7 +252,7 @@
             self._server.memory.give(len(body))
             self._answer(call, status)
 
-    def _submit(self, call: Call) -> int:
+    def _submit(self, call: _Asked) -> int:
         """Read what the request says of itself and give it to the core; the status where it isn't taken."""
         known, server = self._known, self._server
         path, _, query = self._url.partition(b"?")
@@ -270,14 +281,15 @@
             return
         self._deaf, self._in_message = True, False
         self._drop_body()
-        call = Call(self, b"", b"", [], b"")
-        call.keep, call.over = False, True
+        call = _Asked(self, b"", b"", [], b"", False)
+        call.over = True
         self._queue.append(call)
         self._answer(call, status)
 
     # -- output: the client's side of a request, for the core
 
     def conclude(self, call: Call, final: Final) -> None:
+        assert isinstance(call, _Asked)
         reply = final.reply
         if reply is None:
             self._answer(call, STATUS[final.ending], final.retry_after_ms)
@@ -290,7 +302,7 @@
     def settled(self, call: Call) -> None:
         """Nothing is kept here for a request past its answer."""
 
-    def _head(self, call: Call, status: int, headers: bytes, length: int) -> bytes:
+    def _head(self, call: _Asked, status: int, headers: bytes, length: int) -> bytes:
         # While draining, the last answer on a connection says that it closes.
         if self._server.draining and len(self._queue) == 1 and not self._in_message:
             call.keep = False
@@ -298,14 +310,14 @@
         return b"HTTP/1.1 %d %b\r\n%b%b%b\r\n" % (
             status, REASONS.get(status, b""), headers, framing, b"" if call.keep else b"Connection: close\r\n")
 
-    def _answer(self, call: Call, status: int, retry_after_ms: float = 0.0) -> None:
+    def _answer(self, call: _Asked, status: int, retry_after_ms: float = 0.0) -> None:
         advice = b""
         if status in (429, 503):  # a refusal tells when to come back, whoever words it
             wait = retry_after_ms or self._server.engine.come_back(0.0)
             advice = b"Retry-After: %.3f\r\n" % (wait / 1000)
         self._put(call, self._head(call, status, advice, 0))
 
-    def _put(self, call: Call, data: bytes) -> None:
+    def _put(self, call: _Asked, data: bytes) -> None:
         """Answers go out in the order of the requests; on a connection that is breaking, not at all."""
         call.reply = data
         queue, transport = self._queue, self._transport
--- a/gateusher/standins/nodes.py
+++ b/gateusher/standins/nodes.py
@@ -93,7 +93,8 @@
     attempts: Counter[str] = field(default_factory=Counter)   # whole requests that came, by id
     effects: Counter[str] = field(default_factory=Counter)    # those that ran
     asked: dict[str, list[Asked]] = field(default_factory=lambda: defaultdict(list))
-    by_node: Counter[str] = field(default_factory=Counter)
+    by_node: Counter[str] = field(default_factory=Counter)    # the same, by node
+    ran_at: Counter[str] = field(default_factory=Counter)     # effects, by node
     cut: Counter[str] = field(default_factory=Counter)        # requests reset before they were whole
     group: str = "all"            # which nodes drop the repeats of an idempotency key: "all", or one "zone"
     window: float = 60.0          # and for how many seconds
@@ -118,7 +119,7 @@
             if not entry[2].done():
                 entry[2].set_result(None)
 
-    def run(self, rid: str, zone: str, asked: Asked, now: float) -> None:
+    def run(self, rid: str, node: str, zone: str, asked: Asked, now: float) -> None:
         """One effect, unless it is a repeat of a key that is still remembered."""
         key = asked.headers.get("idempotency-key")
         if key is not None:
@@ -127,6 +128,7 @@
                 return
             self._ran[place] = now
         self.effects[rid] += 1
+        self.ran_at[node] += 1
 
     async def arrival(self, rid: str, count: int = 1) -> None:
         """Until so many attempts of this request have come whole."""
@@ -233,7 +235,7 @@
         task.add_done_callback(self._tasks.discard)
 
     def _ran(self, rid: str, asked: Asked) -> None:
-        self.fleet.run(rid, self.zone, asked, asyncio.get_running_loop().time())
+        self.fleet.run(rid, self.name, self.zone, asked, asyncio.get_running_loop().time())
 
     async def _work(self) -> None:
         """Wait for a core and use it; a cold node is slower."""
--- /dev/null
+++ b/tests/test_floors.py
@@ -0,0 +1,47 @@
+"""Imports go downward only: a lower floor never names a higher one."""
+
+import ast
+from pathlib import Path
+
+PACKAGE = Path(__file__).parent.parent / "gateusher"
+FLOORS = {"base": 0, "policy": 1, "simulator": 2, "config": 3, "discovery": 4, "upstream": 5, "core": 6, "node": 7,
+          "listeners": 7, "client": 8, "daemon": 8, "asgi": 9, "blocking": 9, "httpx": 9, "cli": 10, "__main__": 11}
+BESIDE = "standins"  # imported by the command line alone, and stands on nothing
+
+
+def imported(path: Path) -> set[str]:
+    """The parts of the package that a module names, also for its types."""
+    parts = path.relative_to(PACKAGE).with_suffix("").parts
+    found = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.ImportFrom) and node.level:
+            base = list(parts[:len(parts) - node.level])
+            names = [node.module] if node.module else [alias.name for alias in node.names]
+            found |= {".".join([*base, name]).split(".")[0] for name in names}
+        elif isinstance(node, ast.ImportFrom | ast.Import):
+            names = [node.module or ""] if isinstance(node, ast.ImportFrom) else [a.name for a in node.names]
+            found |= {name.split(".")[1] for name in names if name.startswith("gateusher.")}
+    return found
+
+
+def test_imports_go_downward() -> None:
+    seen = 0
+    for path in PACKAGE.rglob("*.py"):
+        part = path.relative_to(PACKAGE).with_suffix("").parts[0]
+        if part == "__init__":
+            continue  # the public names, which load with their first use
+        for other in imported(path) - {part}:
+            seen += 1
+            assert part != BESIDE, f"{path} names {other}"
+            if other == BESIDE:
+                assert part == "cli", f"{path} names the stand-ins"
+            else:
+                assert FLOORS[other] < FLOORS[part], f"{path} names {other}, which stands no lower"
+    assert seen > 30
+
+
+def test_the_core_names_no_syntax_of_a_client() -> None:
+    for path in (PACKAGE / "core").glob("*.py"):
+        text = path.read_text()
+        for word in ("HTTP/1", "Content-Length", "Transfer-Encoding", "Connection:", "Retry-After", "httptools"):
+            assert word not in text, f"{path} names {word}"
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -1,4 +1,4 @@
-"""The README's example does what it says."""
+"""The README's examples do what they say."""
 
 import re
 from pathlib import Path
@@ -6,9 +6,10 @@
 README = Path(__file__).parent.parent / "README.md"
 
 
-def test_example_runs() -> None:
+def test_examples_run() -> None:
     blocks = re.findall(r"```python\n(.*?)```", README.read_text(), re.S)
-    assert len(blocks) == 1
-    names: dict[str, object] = {}
-    exec(blocks[0], names)  # its own assertions check the outcome
-    assert "done" in names
+    assert len(blocks) == 2
+    for block in blocks:
+        names: dict[str, object] = {}
+        exec(block, names)  # its own assertions check the outcome
+        assert "main" in names or "done" in names
