--- a/gateusher/upstream/http.py
+++ b/gateusher/upstream/http.py
@@ -19,9 +19,9 @@
 from ..base.log import say
 from ..base.machine import IllegalMoveError
 from .interface import HOP, NO_REPLY, Attempt, Headers, Reply
-from .states import (ALL, BEGIN, BEGUN, CARRY, CLOSE, CLOSED, CONNECTION, DIALLING, DONE, END, ENDED, EXTRA, HAND, HEAD,
-                     HEADED, INTERIM, KEEP, MORE, PART, PARTLY, QUIET, SENT, SPOIL, SPOILT, UP, VOID, WAITING,
-                     WHOLE)
+from .states import (ALL, BEGIN, BEGUN, CARRY, CLOSE, CLOSED, CONNECTION, DIALLING, DONE, END, ENDED, EXTRA, HAND,
+                     HEAD, HEADED, INTERIM, KEEP, MORE, PART, PARTLY, QUIET, SENT, SPOIL, SPOILT, UP, VOID,
+                     WAITING, WHOLE)
 
 MOST_BODY = 65536       # an answer's body
 MOST_HEAD = 65536       # an answer's header block
