A deadline gives up what is not written yet: nothing is sent for a request past its answer

Story, found by exploring orders of events: an unsafe request is taken, the process is told to end, so the deadline comes before the attempt's own end; its connection comes up in the turn in which the deadline fires; the request is answered with 504 and then written. It would have run unseen. Cause: only a client that leaves gave up attempts that were not written; a deadline did not. Mend: both go one way, Engine._abandon. Regression test: a dial no longer outlives its request.

--- a/gateusher/core/engine.py
+++ b/gateusher/core/engine.py
@@ -228,16 +228,19 @@
         return None
 
     def depart(self, call: Call) -> None:
-        """The client has left: nothing is owed any more.
+        """The client has left: nothing is owed any more."""
+        if call.state == OPEN:
+            self._finish(call, LEAVE)
+            self._abandon(call)
+
+    def _abandon(self, call: Call) -> None:
+        """Nobody waits for this request any more, and the module doesn't know yet.
 
-        An attempt whose last byte is not out yet is given up, so that it never runs: nobody wants it, and an
-        unsafe one would take effect unseen.  One that may run is read to its end, or to its deadline, so that
-        the module learns from it and its connection lives.  It could harm where clients leave and ask again by
+        An attempt whose last byte is not out is given up, so that it never runs: nobody wants it, and an unsafe
+        one would take effect unseen.  One that may run is read to its end, or to its deadline, so that the
+        module learns from it and its connection lives.  It could harm where clients leave and ask again by
         habit while dials are slow: each of them then costs a connection.
         """
-        if call.state != OPEN:
-            return
-        self._finish(call, LEAVE)
         self.deliver(Departed(call.rid))
         for attempt in list(call.attempts.values()):
             if not attempt.written:
@@ -314,8 +317,9 @@
     def _overdue(self, call: Call) -> None:
         # Exactly one answer is owed, in time, whatever the module does.
         if call.state == OPEN:
-            self._conclude(call, self._without_answer(call))
-            self.deliver(Departed(call.rid))
+            self._finish(call, CONCLUDE)
+            call.client.conclude(call, self._without_answer(call))
+            self._abandon(call)
 
     # -- actions
 
--- a/tests/library/test_cancel.py
+++ b/tests/library/test_cancel.py
@@ -11,9 +11,10 @@
 
 from gateusher import Conflict, DeadlineExceeded, Failed, Gateway, InvalidRequest, Unusable
 from gateusher.client import deadline
-from gateusher.standins.nodes import NotRun, Reply, Reset, Stall
+from gateusher.config.file import parse
+from gateusher.standins.nodes import NotRun, Reply, Reset, Silent, Stall
 
-from .rig import at_rest, config, fleet_of, rig, run, until
+from .rig import CLASSES, at_rest, config, fleet_of, rig, run, until
 
 LOOPS = [asyncio.new_event_loop, uvloop.new_event_loop]
 
@@ -334,3 +335,26 @@
                 await r.gateway.request("issue", request_id="d")
             assert not caught.value.may_have_run and not r.fleet.attempts["d"]
     run(test())
+
+
+def test_nothing_goes_on_for_a_request_whose_deadline_came_before_its_connection() -> None:
+    """The process ends, so the deadline is nearer than the attempt's own end: the dial must not outlive it."""
+    async def test() -> None:
+        silent = Silent()
+        try:
+            conf = parse({"classes": CLASSES, "nodes": [{"name": "s", "address": f"127.0.0.1:{silent.port}"}],
+                          "limits": {"connect_timeout": 60.0}})
+            async with Gateway(conf) as gateway:
+                node = gateway._node
+                assert node
+                task = asyncio.create_task(gateway.request("issue", deadline=60.0))
+                await until(lambda: bool(node.upstream._conns))
+                node.engine.end_by(node.clock.now() + 20)
+                with pytest.raises(DeadlineExceeded) as caught:
+                    await task
+                assert not caught.value.may_have_run
+                await until(lambda: at_rest(gateway) and not node.upstream._conns)
+                assert node.descriptors.used == 0
+        finally:
+            silent.close()
+    run(test())
