--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # The two commands of a newcomer: `make try` and `make test`.
 
-.PHONY: try test bench
+.PHONY: try test bench check check-all
 
 .venv/made: requirements.txt requirements-dev.txt
 	test -d .venv || python3 -m venv .venv
@@ -15,3 +15,9 @@
 
 bench: .venv/made
 	.venv/bin/python -m bench.library
+
+check: .venv/made
+	.venv/bin/python -m checker check
+
+check-all: .venv/made
+	.venv/bin/python -m checker mutants --workers 4
