--- a/checker/world.py
+++ b/checker/world.py
@@ -158,6 +158,11 @@
     def lost(self, client: Client) -> None: ...
 
 
+# What a world stands in for, and puts back when it is closed.
+PATCHED = ((node_module, "Clock"), (client_module, "time"), (upstream_module, "select"), (upstream_module, "say"),
+           (listener_module, "select"))
+
+
 @cache
 def configuration(nodes: int) -> Config:
     return parse({"classes": CLASSES, "seed": 1, "limits": {"max_attempts": 3, "margin": 0.0, "idle": 120.0},
@@ -178,6 +183,7 @@
         self.tasks: dict[str, asyncio.Task[Any]] = {}
         self.doors: dict[str, Transport] = {}
         asyncio._set_running_loop(self.loop)
+        self._real = [(module, name, getattr(module, name)) for module, name in PATCHED]
         clock = type("_Clock", (Clock,), {"loop": self.loop})
         node_module.Clock = clock  # type: ignore[misc, assignment]
         client_module.time = Time(self.loop)  # type: ignore[assignment]
@@ -198,6 +204,8 @@
             task.cancel()
         self.loop.settle()
         asyncio._set_running_loop(None)
+        for module, name, value in self._real:
+            setattr(module, name, value)
 
     # -- eyes
 
