Dead code and twins gone from the core, the connections and the library

Read once more as a whole: Engine.holds had no caller; the asker kept an answer that nobody read; a stand-in client was there only since the call was made first; a deadline and the end of the process each worded the answer that is owed without one; which outcomes prove that nothing ran, and how long a request's body may be, stood twice each.

--- a/checker/explore.py
+++ b/checker/explore.py
@@ -29,7 +29,6 @@
     states: int = 0
     transitions: int = 0
     executions: int = 0
-    depth: int = 0
     closed: bool = False       # nothing was left unexplored within the depth
     failure: list[str] = field(default_factory=list)   # what was broken
     story: list[str] = field(default_factory=list)     # and how, in words
@@ -94,7 +93,7 @@
     def __init__(self, face: str, effects: tuple[str, ...], depth: int, nodes: int = 2) -> None:
         self._face, self._effects, self._depth, self._nodes = face, effects, depth, nodes
         self._seen: dict[int, int] = {}
-        self.report = Report(depth=depth)
+        self.report = Report()
 
     def run(self, most_executions: int | None = None, most_seconds: float | None = None) -> Report:
         """Explore; stops at the first failure, or at a bound."""
--- a/checker/loop.py
+++ b/checker/loop.py
@@ -91,9 +91,6 @@
                 handle._run()
         raise AssertionError("the loop never comes to rest")
 
-    def next_timer(self) -> float | None:
-        return self.timers[0][0] if self.timers else None
-
     def fire(self) -> None:
         """Move time to the next timer and call that one alone; others of the same instant come after it."""
         when, _, handle = heapq.heappop(self.timers)
--- a/checker/world.py
+++ b/checker/world.py
@@ -13,7 +13,7 @@
 
 from gateusher import client as client_module
 from gateusher import node as node_module
-from gateusher.client import Conflict, DeadlineExceeded, Failed, Gateway, GatewayError, Refused
+from gateusher.client import DeadlineExceeded, Gateway, GatewayError, Refused
 from gateusher.config.file import parse
 from gateusher.config.model import Config
 from gateusher.listeners import http as listener_module
@@ -360,7 +360,7 @@
             self.tell(rid, "refused", b"")
         except DeadlineExceeded:
             self.tell(rid, "timed out", b"")
-        except (Failed, Conflict, GatewayError) as error:
+        except GatewayError as error:
             self.tell(rid, type(error).__name__.lower(), b"")
 
     def tell(self, rid: str, outcome: str, body: bytes) -> None:
--- a/gateusher/blocking.py
+++ b/gateusher/blocking.py
@@ -11,8 +11,9 @@
 from typing import Any
 
 from . import client
-from .client import MOST_BODY, Answer, Budget, InvalidRequest, Settled, Unusable
+from .client import Answer, Budget, InvalidRequest, Settled, Unusable
 from .config.model import Config
+from .core.engine import MOST_BODY
 
 
 class Gateway:
--- a/gateusher/client.py
+++ b/gateusher/client.py
@@ -22,12 +22,11 @@
 from .base.limits import SPARE_DESCRIPTORS, Pool
 from .base.log import say
 from .config.model import Config, ConfigError, key_number
-from .core.engine import Call, Ending, Fault, Final
+from .core.engine import MOST_BODY, Call, Ending, Fault, Final
 from .node import MEMORY_SHARE, Node
 from .policy.interface import Effect
 from .upstream.interface import HOP, Headers
 
-MOST_BODY = 65536     # bytes of a request's body, as at the daemon
 SETTLE_STEP_S = 0.02  # how often a planned end looks whether all is settled
 
 _inherited: ContextVar[float | None] = ContextVar("gateusher_deadline", default=None)  # on time.monotonic()
@@ -134,15 +133,13 @@
 class _Asker:
     """One caller that waits, or has been cancelled and is told later."""
 
-    __slots__ = ("cls", "final", "future", "gateway", "left", "name")
+    __slots__ = ("cls", "future", "gateway", "left", "name")
 
     def __init__(self, gateway: Gateway, cls: str, name: str, future: asyncio.Future[Final]) -> None:
         self.gateway, self.cls, self.name, self.future = gateway, cls, name, future
-        self.final: Final | None = None
         self.left = False
 
     def conclude(self, call: Call, final: Final) -> None:
-        self.final = final
         if not self.future.done():
             self.future.set_result(final)
 
@@ -276,11 +273,10 @@
         node = self._usable()
         end = time.monotonic() + self._patience(cls, deadline)
         name = request_id if request_id is not None else uuid.uuid4().hex
-        call = self._call(cls, path, method, headers, name, idempotency_key, tenant, key)
+        asker = _Asker(self, cls, name, node.loop.create_future())
+        call = self._call(asker, path, method, headers, idempotency_key, tenant, key)
         if not node.engine.reserve(call.name):
             raise Conflict(f"a request with the id {name!r} is open")
-        asker = _Asker(self, cls, name, node.loop.create_future())
-        call.client = asker
         taken = False
         try:
             content = body if isinstance(body, bytes) else await self._made(body, end)
@@ -323,10 +319,10 @@
                 raise DeadlineExceeded("nothing is left of the inherited deadline; nothing was sent")
         return most
 
-    def _call(self, cls: str, path: str | None, method: str | None, headers: Iterable[tuple[str, str]], name: str,
+    def _call(self, asker: _Asker, path: str | None, method: str | None, headers: Iterable[tuple[str, str]],
               idempotency_key: str | None, tenant: str | None, key: str | None) -> Call:
         """The request without its body, checked for what would break the wire's syntax."""
-        index = self._classes[cls]
+        cls, index = asker.cls, self._classes[asker.cls]
         settings = self._config.settings.classes[index]
         usual = "GET" if settings.effect is Effect.SAFE else "POST"
         target = _bytes(f"/{cls}" if path is None else path, _TARGET, "path")
@@ -340,11 +336,11 @@
                 fields.append((raw, _bytes(value, _VALUE, f"header {field}").strip()))
         if not host:
             fields.insert(0, (b"Host", self._config.authority.encode()))
-        rid = _bytes(name, _ID, "request id")
+        rid = _bytes(asker.name, _ID, "request id")
         fields += ((b"X-Request-Id", rid), (b"X-Class", cls.encode()))
         if idempotency_key is not None:
             fields.append((b"Idempotency-Key", _bytes(idempotency_key, _ID, "idempotency key")))
-        call = Call(_NOBODY, _bytes(method or usual, _TOKEN, "method"), target, fields, b"", index, rid)
+        call = Call(asker, _bytes(method or usual, _TOKEN, "method"), target, fields, b"", index, rid)
         call.keyed = idempotency_key is not None
         if tenant is not None:
             known = self._config.names.tenants.get(tenant.encode())
@@ -396,16 +392,6 @@
 _OURS = frozenset({b"x-request-id", b"x-class", b"x-deadline", b"x-tenant", b"idempotency-key", b"expect"})
 
 
-class _Nobody:
-    """The client of a request that is not taken yet."""
-
-    def conclude(self, call: Call, final: Final) -> None: ...
-    def settled(self, call: Call) -> None: ...
-
-
-_NOBODY = _Nobody()
-
-
 def _bytes(text: str, allowed: re.Pattern[bytes], what: str) -> bytes:
     """ASCII or Latin-1 bytes that may stand on the wire: nothing may end a line or a field early."""
     with suppress(UnicodeEncodeError):
--- a/gateusher/core/engine.py
+++ b/gateusher/core/engine.py
@@ -18,7 +18,7 @@
 from ..policy import Balancer
 from ..policy.interface import (Action, AttemptEnded, Cancel, CloseIdle, Departed, Effect, Event, Fail, Outcome,
                                 Probe, Probed, Refuse, Request, Send, SetTimer, Settings, TimerFired, Watch)
-from ..upstream.interface import Attempt, Headers, Message, Reply
+from ..upstream.interface import NEVER_RAN, Attempt, Headers, Message, Reply
 from .states import ANSWERED, CONCLUDE, LEAVE, LEFT, MAKING, OPEN, REQUEST, REST, TAKE
 
 if TYPE_CHECKING:  # types alone, which a start need not make
@@ -27,7 +27,7 @@
 COME_BACK_MS = 250.0  # what a refusal advises where the module wishes nothing
 OVERDUE_MS = 10.0  # how long after its deadline a request that the module still holds is failed
 PROBE_MS = 500.0   # how long a probe may take once its connection is up
-NEVER_RAN = frozenset({Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT})
+MOST_BODY = 65536  # bytes of a request's body, whichever face it comes through
 
 
 class Fault(Enum):
@@ -170,15 +170,12 @@
 
     # -- what a face calls
 
-    def holds(self, name: bytes) -> bool:
-        """Whether a request with this id is open, or an attempt of it still out.
+    def reserve(self, name: bytes) -> bool:
+        """Keep an id for a request that is still being made; False where it is taken.
 
-        Another under the same id could not be told from a second copy of it by any endpoint.
+        It is taken while a request with it is open, or an attempt of one still out: another under the same id
+        could not be told from a second copy of it by any endpoint.
         """
-        return name in self._names
-
-    def reserve(self, name: bytes) -> bool:
-        """Keep an id for a request that is still being made; False where it is taken."""
         if not name or name in self._names:
             return False
         self._names.add(name)
@@ -259,11 +256,9 @@
     def close(self) -> None:
         """End at once: what is open gets its final answer, what is out is given up, no timer is left."""
         for call in list(self.calls.values()):
-            if call.state == OPEN:
-                self._conclude(call, self._without_answer(call))
-                self.deliver(Departed(call.rid))
+            self._overdue(call)
             for attempt in list(call.attempts.values()):
-                self.upstream.give_up(attempt, Outcome.CANCELLED if attempt.written else Outcome.NOT_SENT)
+                self._stop(attempt)
         for timer in self._timers:
             timer.cancel()
         self._timers.clear()
@@ -309,16 +304,15 @@
         call.client.conclude(call, final)
         self._release(call)
 
-    def _without_answer(self, call: Call) -> Final:
-        """Time ran out, or the process ends: a refusal where a repeat is provably harmless is the module's to
-        give, so this is a failure even then, which promises nothing."""
-        return Final(Ending.TIMED_OUT, None, 0.0, call.may_have_run)
-
     def _overdue(self, call: Call) -> None:
-        # Exactly one answer is owed, in time, whatever the module does.
+        """Time ran out, or the process ends: exactly one answer is owed, whatever the module does.
+
+        A refusal, where a repeat is provably harmless, is the module's to give; so this is a failure even then,
+        which promises nothing.
+        """
         if call.state == OPEN:
             self._finish(call, CONCLUDE)
-            call.client.conclude(call, self._without_answer(call))
+            call.client.conclude(call, Final(Ending.TIMED_OUT, None, 0.0, call.may_have_run))
             self._abandon(call)
 
     # -- actions
@@ -331,7 +325,7 @@
         if call:
             call.tries += 1
             expires = min(expires, call.deadline) if expires > 0 else call.deadline
-            if not (call.state != OPEN or number >= self._settings.max_attempts or expires <= now):
+            if call.state == OPEN and number < self._settings.max_attempts and expires > now:
                 sent = call.attempts[number] = Sent(self, call, number, eid, now, expires)
                 self.upstream.start(sent)
                 return
@@ -353,7 +347,11 @@
         call = self.calls.get(action.request)
         attempt = call.attempts.get(action.attempt) if call else None
         if call and attempt:
-            self.upstream.give_up(attempt, Outcome.CANCELLED if attempt.written else Outcome.NOT_SENT)
+            self._stop(attempt)
+
+    def _stop(self, attempt: Sent) -> None:
+        """Give an attempt up, with an outcome that says whether it can have run."""
+        self.upstream.give_up(attempt, Outcome.CANCELLED if attempt.written else Outcome.NOT_SENT)
 
     def _probe(self, action: Probe) -> None:
         """Ask an endpoint how it is.  The answer counts as the table of outcomes says."""
--- a/gateusher/core/ports.py
+++ b/gateusher/core/ports.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Protocol
 
-from ..discovery.catalog import HostLine
 from ..policy.interface import Outcome
 from ..upstream.interface import Attempt
 from .engine import Call, Final
@@ -50,9 +49,6 @@
     def close_idle(self, eid: int) -> None:
         """Close the connections to this endpoint that carry nothing."""
 
-    def update(self, lines: Iterable[HostLine], whole: bool) -> None:
-        """News of the list: where endpoints listen, and which may be sent to."""
-
     @property
     def pulls_reports(self) -> bool:
         """Whether load reports are the bodies of probes' answers."""
--- a/gateusher/listeners/http.py
+++ b/gateusher/listeners/http.py
@@ -17,11 +17,10 @@
 from ..base.limits import Bytes, Descriptors
 from ..base.log import say
 from ..config.model import Names, key_of
-from ..core.engine import Call, Ending, Engine, Fault, Final
+from ..core.engine import MOST_BODY, Call, Ending, Engine, Fault, Final
 from ..upstream.interface import HOP, Headers
 
 MOST_HEAD = 32768            # bytes of a request's header block
-MOST_BODY = 65536            # bytes of a request's body
 MOST_PATIENCE_MS = 3.6e6
 MOST_OPEN = 8                # requests open on one connection, where clients should send one at a time
 WHOLE_S = 2.2                # a request is whole so long after its first byte, the first one after connecting
--- a/gateusher/upstream/http.py
+++ b/gateusher/upstream/http.py
@@ -18,7 +18,7 @@
 from ..base.limits import Bytes, Descriptors
 from ..base.log import say
 from ..base.machine import IllegalMoveError
-from .interface import HOP, NO_REPLY, Attempt, Headers, Reply
+from .interface import HOP, NEVER_RAN, NO_REPLY, Attempt, Headers, Reply
 from .states import (ALL, BEGIN, BEGUN, CARRY, CLOSE, CLOSED, CONNECTION, DIALLING, DONE, END, ENDED, EXTRA, HAND,
                      HEAD, HEADED, INTERIM, KEEP, MORE, PART, PARTLY, QUIET, SENT, SPOIL, SPOILT, UP, VOID,
                      WAITING, WHOLE)
@@ -29,8 +29,6 @@
 ANSWER_S = 0.15         # an answer is whole so long after its first bytes
 SETTLE_MS = 4.0         # how long a connection rests after an answer, before it carries another request
 
-VOIDS = frozenset({Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT})  # outcomes of what never ran
-
 
 class Host:
     """An endpoint: where it listens and the connections to it that stand idle, the latest used last."""
@@ -310,15 +308,11 @@
         self.loop = asyncio.get_running_loop()
         self._dial_s = settings.dial_timeout_ms / 1000
         self._idle_ms = settings.idle_ms * IDLE_PART
-        self._pulled = settings.reports_pulled
+        self.pulls_reports = settings.reports_pulled
         self._hosts: dict[int, Host] = {}
         self._conns: set[Connection] = set()
         descriptors.reclaimers.append(self._reclaim)
 
-    @property
-    def pulls_reports(self) -> bool:
-        return self._pulled
-
     # -- the list
 
     def knows(self, line: HostLine) -> bool:
@@ -406,14 +400,14 @@
     def report(self, attempt: Attempt, outcome: Outcome, text: bytes, reply: Reply = NO_REPLY) -> None:
         """Hand an attempt back with its outcome."""
         try:
-            attempt.move(VOID if outcome in VOIDS else DONE)
+            attempt.move(VOID if outcome in NEVER_RAN else DONE)
         except IllegalMoveError:
             if attempt.state == ENDED:
                 return  # its one outcome was told: the core must not hear another
             # A fault of ours: end it all the same, as one that may have run, or its request never settles.
             attempt.state, outcome, reply = ENDED, Outcome.RESET, NO_REPLY
         values = self._read_report(text) if text else ()
-        if attempt.to_any and self._pulled and reply.body and not values:
+        if attempt.to_any and self.pulls_reports and reply.body and not values:
             values = self._read_report(reply.body.strip())
         attempt.ended(outcome, values, self.clock.now() - attempt.sent_ms, reply)
 
--- a/gateusher/upstream/interface.py
+++ b/gateusher/upstream/interface.py
@@ -39,6 +39,8 @@
     body: bytes
 
 
+NEVER_RAN = frozenset({Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT})  # outcomes that prove it
+
 NO_REPLY = Reply(0, [], b"")
 
 
