A dial that was overtaken carries nothing: key windows, drains, moves, restarts

What is decided at one instant is acted on when a connection comes up. Attempts carry a time after which their last byte may not leave; the connections check it and the list when a dial comes up. The module's wire is as before, a reused connection costs nothing more.

An HTTP/1.1 request without Host is refused (RFC 9112, 3.2). The middleware wrapped round a whole framework by hand keeps back a 500 for one turn, so that a refusal stays 503 there too.

--- a/checker/properties.py
+++ b/checker/properties.py
@@ -57,7 +57,7 @@
     """1. "... before the client's time runs out" (BRIEF 11), and the stated grace."""
     late = OVERDUE_MS / 1000 + SLACK_S
     return [f"{c.name.decode()} is open past its deadline" for c in world.node.engine.calls.values()
-            if c.state == OPEN and world.loop.now > c.deadline / 1000 + late]
+            if c.state == OPEN and world.loop.now > min(c.deadline / 1000, world.end_s) + late]
 
 
 def no_effect_twice(world: World, sent: Sent) -> list[str]:
--- a/checker/world.py
+++ b/checker/world.py
@@ -180,6 +180,7 @@
         self.transports: list[Transport] = []
         self.health = ["Ready"] * nodes
         self.ended = self.turned = self.scarce = False
+        self.end_s = float("inf")   # when the process ends, and all that is open with it
         self.tasks: dict[str, asyncio.Task[Any]] = {}
         self.doors: dict[str, Transport] = {}
         asyncio._set_running_loop(self.loop)
@@ -443,8 +444,8 @@
         self.node.descriptors.most = 0
 
     def _end(self) -> None:
-        self.ended = True
-        self.node.engine.end_by(self.loop.now * 1000 + 500)
+        self.ended, self.end_s = True, self.loop.now + 0.5
+        self.node.engine.end_by(self.end_s * 1000)
 
 
 REPLIES = ("a 200", "a 500", "503, not run,", "noise", "half of a 200", "a 200 twice", "a 1xx and a 200",
--- a/gateusher/asgi.py
+++ b/gateusher/asgi.py
@@ -89,6 +89,10 @@
     A server tells of a disconnect only in `receive`, behind the body.  So one message is read ahead of the
     application, and what comes behind the body at once.  It could harm an application that wants no byte of a
     large body read: one part of it is.
+
+    A 500 is kept back until the next turn of the loop.  Where the middleware is wrapped round a whole framework
+    by hand, the framework's own outermost handler answers an error with 500 and raises it on, in one go: that
+    500 would take back what a refusal promises.  It could harm nobody but by that one turn.
     """
 
     def __init__(self, receive: Receive, send: Send) -> None:
@@ -98,6 +102,8 @@
         self._error: BaseException | None = None
         self._task: asyncio.Task[Any] | None = None
         self.begun = self._done = self._gone = False
+        self._kept: list[Message] = []     # of a 500, for one turn of the loop
+        self._flushing: asyncio.Task[None] | None = None
 
     async def run(self, app: App, scope: Scope) -> None:
         self._task = asyncio.current_task()
@@ -108,9 +114,17 @@
             # Swallow only the cancel that the disconnect caused; the server's own goes on.
             if not self._gone or not self._task or self._task.uncancel() > 0:
                 raise
+        except GatewayError:
+            if self._flushing and not self.begun:
+                self._flushing.cancel()  # the 500 was about this error, which has an answer of its own
+            raise
+        except Exception:
+            await self._flush()
+            raise
         else:
             if self._gone and self._task:
                 self._task.uncancel()  # the application would not be cancelled; its server must not be either
+            await self._flush()
         finally:
             pump.cancel()
 
@@ -145,6 +159,30 @@
         return message
 
     async def send(self, message: Message) -> None:
+        last = message["type"] == "http.response.body" and not message.get("more_body")
+        if not self.begun and message["type"] == "http.response.start" and message["status"] == 500:
+            self._kept.append(message)
+            return
+        if self._kept and last and not self._flushing:
+            self._kept.append(message)
+            self._flushing = asyncio.create_task(self._let_go())
+            return
+        await self._flush()
+        await self._pass(message)
+
+    async def _flush(self) -> None:
+        """What was kept goes out, before this returns."""
+        if self._flushing:
+            await self._flushing
+        else:
+            await self._let_go()
+
+    async def _let_go(self) -> None:
+        kept, self._kept = self._kept, []
+        for message in kept:
+            await self._pass(message)
+
+    async def _pass(self, message: Message) -> None:
         if message["type"] == "http.response.start":
             self.begun = True
         elif message["type"] == "http.response.body" and not message.get("more_body"):
--- a/gateusher/config/file.py
+++ b/gateusher/config/file.py
@@ -82,7 +82,7 @@
     classes: dict[str, Class]
     name: Name = "gateusher"
     listen: str | None = None           # the daemon's; the library needs none
-    authority: Name = "origin.svc"      # the Host of requests that bring none
+    authority: Name = "origin.svc"      # Host where the library's caller or an HTTP/1.0 client brings none
     zone: str = ""                      # where this process runs
     zones: list[str] = field(default_factory=list)
     tenants: list[str] = field(default_factory=list)
--- a/gateusher/config/model.py
+++ b/gateusher/config/model.py
@@ -50,7 +50,7 @@
     names: Names
     methods: tuple[frozenset[bytes], ...]   # by class
     serves: frozenset[int] = OK_ONLY        # the statuses that are an endpoint's answer
-    authority: str = "origin.svc"           # the Host of requests that bring none
+    authority: str = "origin.svc"           # the Host of the library's requests that bring none, and of HTTP/1.0's
     margin_s: float = 0.01                  # what an inherited deadline is cut by
     drain_s: float = 3.4                    # how long a planned end waits for what is open
 
--- a/gateusher/core/engine.py
+++ b/gateusher/core/engine.py
@@ -10,6 +10,7 @@
 import traceback
 from collections import deque
 from enum import Enum
+from math import inf
 from typing import TYPE_CHECKING, NamedTuple
 
 from ..base.clock import Clock
@@ -63,7 +64,7 @@
     """One request of a client: from its last byte until it is answered and its attempts are over."""
 
     __slots__ = ("attempts", "client", "cls", "deadline", "key", "keyed", "last", "name", "ran", "repeat", "rid",
-                 "served", "state", "tenant", "timer", "tries", "work_ms")
+                 "served", "state", "tenant", "timer", "tries", "work_ms", "write_by")
 
     def __init__(self, client: Asking, method: bytes, target: bytes, headers: Headers, body: bytes | bytearray,
                  cls: int = 0, name: bytes = b"") -> None:
@@ -78,6 +79,7 @@
         self.ran = False              # an attempt has ended that may have run
         self.served = False           # an attempt was answered, whoever still wanted it
         self.last = Outcome.NOT_SENT  # of the attempt that ended last
+        self.write_by = inf           # nothing of it may be written from then on: its key may be forgotten
         self.attempts: dict[int, Sent] = {}  # those without an outcome
         self.timer: Timer | None = None
 
@@ -101,7 +103,7 @@
     __slots__ = ("call", "engine", "number")
 
     def __init__(self, engine: Engine, call: Call, number: int, eid: int, now: float, expires_ms: float) -> None:
-        super().__init__(call, eid, now, expires_ms)
+        super().__init__(call, eid, now, expires_ms, call.write_by)
         self.engine, self.call, self.number = engine, call, number
 
     def ended(self, outcome: Outcome, report: tuple[float, ...], elapsed_ms: float, reply: Reply) -> None:
@@ -273,6 +275,12 @@
         call.last = outcome
         if outcome not in NEVER_RAN:
             call.ran = True
+            if call.keyed and call.write_by == inf:
+                # The module decides on a repeat inside the window; its connection may take until after it to
+                # come up.  The window counts from when the first that may have run was handed out, which is no
+                # later than its first byte.  It could harm where clocks tick more coarsely than the settings say.
+                window = self._settings.classes[call.cls].window_ms
+                call.write_by = attempt.sent_ms + window - self._settings.tick_ms
         if outcome is Outcome.OK:
             call.served = True
             if call.state == OPEN:
@@ -325,7 +333,7 @@
         if call:
             call.tries += 1
             expires = min(expires, call.deadline) if expires > 0 else call.deadline
-            if call.state == OPEN and number < self._settings.max_attempts and expires > now:
+            if call.state == OPEN and number < self._settings.max_attempts and min(expires, call.write_by) > now:
                 sent = call.attempts[number] = Sent(self, call, number, eid, now, expires)
                 self.upstream.start(sent)
                 return
--- a/gateusher/daemon.py
+++ b/gateusher/daemon.py
@@ -23,7 +23,7 @@
         self.engine, self.discovery = self.node.engine, self.node.discovery
         try:
             self.server = Server(config.listen, config.names, self.engine, self.node.memory,
-                                 self.node.descriptors)
+                                 self.node.descriptors, config.authority)
         except OSError:
             self.node.close()
             raise
--- a/gateusher/listeners/http.py
+++ b/gateusher/listeners/http.py
@@ -257,6 +257,10 @@
         if path == b"/_health":
             return 503 if server.draining else 200
         label = path[1:].partition(b"/")[0]
+        if b"host" not in known:
+            if self._parser.get_http_version() == "1.1":
+                return 400  # RFC 9112, 3.2: whom it is meant for can't be told
+            self._headers.insert(0, (b"Host", server.authority))  # endpoints are spoken to in 1.1
         cls = server.names.classes.get(known.get(b"x-class", label))
         patience = _plain(known.get(b"x-deadline"), 1000.0, MOST_PATIENCE_MS)
         if path[:1] != b"/" or cls is None or server.names.classes.get(label) != cls or patience is None:
@@ -338,9 +342,9 @@
     """The listener and all connections of the application's."""
 
     def __init__(self, where: tuple[str, int], names: Names, engine: Engine, memory: Bytes,
-                 descriptors: Descriptors) -> None:
+                 descriptors: Descriptors, authority: str) -> None:
         self.loop = asyncio.get_running_loop()
-        self.names, self.engine, self.memory = names, engine, memory
+        self.names, self.engine, self.memory, self.authority = names, engine, memory, authority.encode()
         self._fds = descriptors
         self._clients: set[Client] = set()
         self._tasks: set[asyncio.Task[object]] = set()
--- a/gateusher/upstream/http.py
+++ b/gateusher/upstream/http.py
@@ -94,6 +94,17 @@
         if not transport.is_closing():
             attempt.move(PART if self._blocked else ALL)
 
+    def _overtaken(self, attempt: Attempt) -> bool:
+        """Whether what was decided when the dial began no longer holds now that it is up.
+
+        A window or a deadline ran out in this very turn of the loop, before its timer was called; the endpoint
+        was told to drain, or has moved; or it was started anew, and this would be a request to a cold process
+        that its budget knows nothing of.  It could harm where a list flaps faster than connections come up.
+        """
+        host = self.host
+        return (self._up.clock.now() >= attempt.write_by_ms or not (host.ready or attempt.to_any)
+                or host.born_ms != self.born_ms or (host.ip, host.port) != self.where)
+
     def pause_writing(self) -> None:
         self._blocked = True
 
@@ -112,7 +123,10 @@
         self.dial = None
         if self.attempt and self.state == DIALLING:
             self._move(UP)
-            self._write(self._transport, self.attempt)
+            if self._overtaken(self.attempt):
+                self.stop(Outcome.NOT_SENT)
+            else:
+                self._write(self._transport, self.attempt)
         else:
             self._transport.abort()  # given up while it came up
 
@@ -348,7 +362,7 @@
         if conn is None:
             self.report(attempt, Outcome.NOT_SENT, b"")
             return
-        left = (attempt.expires_ms - attempt.sent_ms) / 1000
+        left = (attempt.write_by_ms - attempt.sent_ms) / 1000
         attempt.timer = self.loop.call_later(left, self._expired, attempt)
         conn.carry(attempt)
 
@@ -388,6 +402,14 @@
             self.lost(conn)
 
     def _expired(self, attempt: Attempt) -> None:
+        if attempt.write_by_ms < attempt.expires_ms:
+            if not attempt.written:
+                self.give_up(attempt, Outcome.NOT_SENT)  # its window is over, which is nobody's fault
+                return
+            attempt.write_by_ms = attempt.expires_ms
+            left = max(0.0, attempt.expires_ms - self.clock.now()) / 1000
+            attempt.timer = self.loop.call_later(left, self._expired, attempt)
+            return
         # Unanswered, and nothing else heard from there since: its other connections may be just as dead.
         if attempt.host and attempt.host.heard_ms < attempt.sent_ms:
             self.close_idle(attempt.eid)
--- a/gateusher/upstream/interface.py
+++ b/gateusher/upstream/interface.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
+from math import inf
 from typing import TYPE_CHECKING, NamedTuple
 
 from ..policy.interface import Outcome
@@ -45,13 +46,20 @@
 
 
 class Attempt(ABC):
-    """One sending of a message to one endpoint, until `expires_ms` (the clock's milliseconds)."""
+    """One sending of a message to one endpoint, until `expires_ms` (the clock's milliseconds).
 
-    __slots__ = ("conn", "eid", "expires_ms", "host", "message", "sent_ms", "state", "timer")
+    `write_by_ms`, no later than that, bounds the writing: from then on no byte of it may be the last one.  What
+    was decided at one instant is acted on at a later one, when a connection comes up or a peer reads again, and
+    whatever the decision rested on may have run out by then.
+    """
+
+    __slots__ = ("conn", "eid", "expires_ms", "host", "message", "sent_ms", "state", "timer", "write_by_ms")
     to_any = False  # a probe, which may also go to an endpoint that takes no requests
 
-    def __init__(self, message: Message, eid: int, sent_ms: float, expires_ms: float) -> None:
+    def __init__(self, message: Message, eid: int, sent_ms: float, expires_ms: float,
+                 write_by_ms: float = inf) -> None:
         self.message, self.eid, self.sent_ms, self.expires_ms = message, eid, sent_ms, expires_ms
+        self.write_by_ms = min(write_by_ms, expires_ms)
         self.state: str = MADE                  # see core/states.py; the connections' own, as all below
         self.host: Host | None = None
         self.conn: Connection | None = None
--- a/tests/library/test_asgi.py
+++ b/tests/library/test_asgi.py
@@ -1,7 +1,7 @@
 """The middleware with Starlette and FastAPI, and with an ASGI server's side played by hand."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from typing import Any
 
@@ -10,6 +10,7 @@
 from fastapi import Depends, FastAPI
 from fastapi import Request as FastRequest
 from starlette.applications import Starlette
+from starlette.background import BackgroundTask
 from starlette.middleware import Middleware
 from starlette.requests import Request
 from starlette.responses import PlainTextResponse, StreamingResponse
@@ -28,11 +29,25 @@
     return PlainTextResponse(answer.body)
 
 
-def application(gateway: Gateway, *routes: Route, **more: Any) -> Starlette:
+def by_hand(gateway: Gateway, *routes: Route, **more: Any) -> Any:
+    """Round the whole framework, its own outermost error handler too."""
+    return GatewayMiddleware(Starlette(routes=[Route("/issue", issue, methods=["POST"]), *routes]), gateway, **more)
+
+
+def fast_by_hand(gateway: Gateway, *routes: Route, **more: Any) -> Any:
+    app = FastAPI(routes=[Route("/issue", issue, methods=["POST"]), *routes])
+    return GatewayMiddleware(app, gateway, **more)
+
+
+def application(gateway: Gateway, *routes: Route, **more: Any) -> Any:
     return Starlette(routes=[Route("/issue", issue, methods=["POST"]), *routes],
                      middleware=[Middleware(GatewayMiddleware, gateway=gateway, **more)])
 
 
+Wrap = Callable[..., Any]
+WRAPS = (application, by_hand, fast_by_hand)
+
+
 class Served:
     """What an ASGI server does: the lifespan, and requests whose messages a test can see and hold."""
 
@@ -85,11 +100,12 @@
 
 
 @asynccontextmanager
-async def served(count: int = 1, routes: tuple[Route, ...] = (), **more: Any) -> AsyncIterator[Any]:
+async def served(count: int = 1, routes: tuple[Route, ...] = (), wrap: Wrap = application,
+                 **more: Any) -> AsyncIterator[Any]:
     async with fleet_of(count) as (fleet, nodes):
         settled: list[Settled] = []
         gateway = Gateway(config(*nodes), on_settled=settled.append)
-        server = Served(application(gateway, *routes, **more))
+        server = Served(wrap(gateway, *routes, **more))
         assert await server.up() == "lifespan.startup.complete"
         yield server, gateway, fleet, settled
         assert await server.down() == "lifespan.shutdown.complete"
@@ -113,11 +129,12 @@
 ERRORS = {"refused": ((NotRun(),) * 9, 503), "failed": ((Reset(),), 502), "late": ((Stall(),), 504)}
 
 
+@pytest.mark.parametrize("wrap", WRAPS)
 @pytest.mark.parametrize("name", ERRORS)
-def test_what_the_gateway_raises_becomes_an_honest_status(name: str) -> None:
+def test_what_the_gateway_raises_becomes_an_honest_status(name: str, wrap: Wrap) -> None:
     async def test() -> None:
         acts, status = ERRORS[name]
-        async with served() as (server, _, fleet, _), server.client() as client:
+        async with served(wrap=wrap) as (server, _, fleet, _), server.client() as client:
             fleet.tell("r", *acts)
             response = await client.post("/issue", headers={"X-Request-Id": "r", "X-Deadline": "0.3"})
             assert response.status_code == status
@@ -127,6 +144,43 @@
     run(test())
 
 
+@pytest.mark.parametrize("wrap", WRAPS)
+def test_a_500_of_the_applications_own_goes_out_at_once_and_whole(wrap: Wrap) -> None:
+    """Also one behind which the application works on: its client doesn't wait for that."""
+    async def test() -> None:
+        done = asyncio.Event()
+
+        async def odd(request: Request) -> PlainTextResponse:
+            return PlainTextResponse("own", 500, background=BackgroundTask(done.wait))
+
+        async def streamed(request: Request) -> StreamingResponse:
+            async def parts() -> AsyncIterator[bytes]:
+                yield b"a"
+                yield b"b"
+            return StreamingResponse(parts(), 500)
+
+        async def broken(request: Request) -> PlainTextResponse:
+            raise ValueError("not the gateway's")
+
+        routes = tuple(Route(f"/{f.__name__}", f, methods=["POST"]) for f in (odd, streamed, broken))
+        async with served(routes=routes, wrap=wrap) as (server, *_):
+            exchange = server.begin("/odd", {})
+            await until(lambda: len(exchange.sent) == 2)
+            assert exchange.sent[0]["status"] == 500 and exchange.sent[1]["body"] == b"own"
+            assert not exchange.task.done()
+            done.set()
+            await exchange.task
+            exchange = server.begin("/streamed", {})
+            await exchange.task
+            assert b"".join(m["body"] for m in exchange.sent[1:]) == b"ab"
+            exchange = server.begin("/broken", {})
+            with pytest.raises(ValueError, match="not the gateway's"):
+                await exchange.task
+            assert [m["type"] for m in exchange.sent] == ["http.response.start", "http.response.body"]
+            assert exchange.sent[0]["status"] == 500
+    run(test())
+
+
 def test_an_open_id_and_a_bad_request() -> None:
     async def strange(request: Request) -> PlainTextResponse:
         await request.state.gateway.request("strange")
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -44,6 +44,8 @@
     "class twice": look(more=b"X-Class: look\r\n"),
     "deadline twice": look(more=b"X-Deadline: 1\r\n"),
     "id twice": look(more=b"X-Request-Id: c3\r\n"),
+    "no Host": look().replace(b"Host: o\r\n", b""),
+    "two of Host": look(more=b"Host: p\r\n"),
     "no id": look().replace(b"X-Request-Id: a1\r\n", b""),
     "strange class": look().replace(b"look", b"looks"),
     "method against class": look().replace(b"GET", b"POST"),
@@ -69,6 +71,16 @@
     run(test())
 
 
+def test_a_request_of_http_1_0_needs_no_host_and_its_endpoint_gets_one() -> None:
+    async def test() -> None:
+        endpoint = Endpoint()
+        async with rig(endpoint) as r:
+            head, _ = await r.ask(look().replace(b"HTTP/1.1\r\nHost: o\r\n", b"HTTP/1.0\r\n"))
+            assert status(head) == 200
+            assert endpoint.seen[0].split(b"\r\n")[:2] == [b"GET /look HTTP/1.1", b"Host: origin.svc"]
+    run(test())
+
+
 def test_the_id_of_an_open_request_is_refused_and_free_again_after_it() -> None:
     async def test() -> None:
         go, came = asyncio.Event(), asyncio.Event()
