The checker after a read: one word for 'at work', verdicts kept in one place, dead field gone

The condition under which time alone can still bring something about stood in the explorer and, weaker, in the fuzzer; the world tells it now. Verdicts are read and written by one module, coverage is watched in one place, two tests of configurations share their body, and a field that nothing read is gone.

--- a/checker/__main__.py
+++ b/checker/__main__.py
@@ -5,8 +5,10 @@
 import argparse
 import json
 import os
+import resource
 import subprocess
 import sys
+import time
 from collections import Counter
 from collections.abc import Iterable
 from concurrent.futures import ThreadPoolExecutor
@@ -15,9 +17,9 @@
 from typing import Any
 
 from . import mutate
-from .hunt import MUTANT_WALKS, in_turn, jobs, lines_reached, try_mutant, write
+from .hunt import MUTANT_WALKS, covered, in_turn, jobs, lines_reached, try_mutant
 from .hunt import hunt as hunt_all
-from .verdicts import FILE, ORDER, known, sample
+from .verdicts import ORDER, keep, known, sample
 
 TESTS_S = 600     # of the ordinary tests on one mutant
 
@@ -32,9 +34,6 @@
 
 def explore(args: argparse.Namespace) -> int:
     """Walks on and on by seeds that no check plays, until the minutes are over or something breaks."""
-    import resource  # noqa: PLC0415
-    import time  # noqa: PLC0415
-
     by, seed = time.monotonic() + args.minutes * 60, args.seed
     total = Counter[str]()
     while time.monotonic() < by:
@@ -131,7 +130,7 @@
         with ThreadPoolExecutor(max(1, args.workers // 2)) as pool:
             for name, killed in zip(left, pool.map(by_tests, left), strict=True):
                 verdicts[name] = "tests" if killed else f"{verdicts[name]}, by the tests too"
-    write(str(FILE), verdicts)
+    keep(verdicts)
     table(verdicts)
     return 0
 
@@ -168,13 +167,7 @@
     if args.json:
         print(json.dumps(lines_reached()))
         return 0
-    import coverage  # noqa: PLC0415
-
-    watch = coverage.Coverage(data_file=None, branch=True, include=[str(mutate.path_of(m)) for m in mutate.TARGETS])
-    watch.start()
-    hunt_all(jobs())
-    watch.stop()
-    watch.report(show_missing=True, file=sys.stdout)
+    covered(jobs()).report(show_missing=True, file=sys.stdout)
     return 0
 
 
--- a/checker/explore.py
+++ b/checker/explore.py
@@ -18,7 +18,7 @@
 
 from . import properties
 from .chooser import Chooser, Ordered, Script, Walk
-from .world import LIST_PORTS, PLAIN, Setting, World
+from .world import PLAIN, Setting, World
 
 REST_STEPS = 400
 RUNS, SAME = "the loop runs", "in the same turn:"
@@ -196,10 +196,7 @@
         world.rest()
         world.loop.settle()
         steps = 0
-        while world.loop.timers and steps < REST_STEPS and (
-                world.engine.calls or world.engine._timers or any(c.attempt for c in world.upstream._conns)
-                or not all(t.done() for t in world.tasks.values())
-                or any(d.port not in LIST_PORTS for d in world.loop.dials)):
+        while steps < REST_STEPS and world.at_work():
             world.loop.fire()
             world.loop.settle()
             steps += 1
--- a/checker/hunt.py
+++ b/checker/hunt.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import multiprocessing
 import os
 import resource
@@ -138,19 +137,18 @@
             yield name, found
 
 
-def lines_reached(walks: int = MUTANT_WALKS) -> dict[str, list[int]]:
-    """The lines of each target that a hunt without a fault runs: no change elsewhere can show in it."""
+def covered(todo: Iterable[Job]) -> Any:
+    """The branch coverage (a `coverage.Coverage`) of the targets by these jobs alone."""
     import coverage  # noqa: PLC0415
 
     cover = coverage.Coverage(data_file=None, branch=True, include=[str(mutate.path_of(m)) for m in mutate.TARGETS])
     cover.start()
-    hunt(jobs(walks, every_order=False))
+    hunt(todo)
     cover.stop()
-    data = cover.get_data()
-    return {m: sorted(data.lines(str(mutate.path_of(m))) or ()) for m in mutate.TARGETS}
+    return cover
 
 
-def write(path: str, verdicts: dict[str, str]) -> None:
-    with open(path, "w") as file:
-        json.dump(dict(sorted(verdicts.items())), file, indent=0)
-        file.write("\n")
+def lines_reached(walks: int = MUTANT_WALKS) -> dict[str, list[int]]:
+    """The lines of each target that a hunt without a fault runs: no change elsewhere can show in it."""
+    data = covered(jobs(walks, every_order=False)).get_data()
+    return {m: sorted(data.lines(str(mutate.path_of(m))) or ()) for m in mutate.TARGETS}
--- a/checker/story.py
+++ b/checker/story.py
@@ -39,7 +39,6 @@
     node: int
     at: float
     transport: Transport
-    born: int = 0                     # the process of the node that has it: how often it was started before
     whole: bool = False               # its last byte has come: it may run
     answered: bool = False
     turned_away: bool = False
--- a/checker/verdicts.py
+++ b/checker/verdicts.py
@@ -16,6 +16,11 @@
     return json.loads(FILE.read_text()) if FILE.exists() else {}
 
 
+def keep(verdicts: dict[str, str]) -> None:
+    """Instead of those kept so far."""
+    FILE.write_text(json.dumps(dict(sorted(verdicts.items())), indent=0) + "\n")
+
+
 def sample(verdicts: dict[str, str], count: int = SAMPLE) -> list[str]:
     """So many of those that the explorer kills, spread over the modules; the same for the same verdicts."""
     killed = sorted(n for n, v in verdicts.items() if v == "explorer")
--- a/checker/world.py
+++ b/checker/world.py
@@ -291,7 +291,7 @@
         found = RID.search(data)
         ask = self.story.asks[found[1].decode()] if found else None
         node = transport.port - 1
-        sent = Sent(ask, node, self.loop.now, transport, self.starts[node])
+        sent = Sent(ask, node, self.loop.now, transport)
         self.story.wrong += properties.sending(self, sent, data)
         self.story.sent.append(sent)
 
@@ -829,6 +829,13 @@
             self.end_s = self.loop.now + END_S
             self.engine.end_by(self.end_s * 1000)
 
+    def at_work(self) -> bool:
+        """Whether time alone can still bring something about: a timer is left, and something waits for one."""
+        return bool(self.loop.timers) and bool(
+            self.engine.calls or self.engine._timers or any(c.attempt for c in self.upstream._conns)
+            or not all(t.done() for t in self.tasks.values())
+            or any(d.port not in LIST_PORTS for d in self.loop.dials))
+
     def rest(self) -> None:
         """Nothing new comes any more: clients read what they were sent, and half a request goes with its client."""
         if self.setting.calm:
--- a/tests/fuzz/test_bytes.py
+++ b/tests/fuzz/test_bytes.py
@@ -6,7 +6,7 @@
 import copy
 import json
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any
 
@@ -19,7 +19,10 @@
 
 from checker import properties
 from checker.chooser import Chooser
-from checker.world import LIST_PORTS, Setting, World
+from checker.explore import REST_STEPS
+from checker.loop import Transport
+from checker.story import Ask
+from checker.world import Setting, World
 from gateusher.config import file as toml_config
 from gateusher.config import platform
 from gateusher.config.model import ConfigError
@@ -52,9 +55,8 @@
     """Time alone does the rest, and nothing may be left."""
     w.rest()
     w.loop.settle()
-    for _ in range(400):
-        if not w.loop.timers or not (w.engine.calls or w.engine._timers or any(
-                d.port not in LIST_PORTS for d in w.loop.dials)):
+    for _ in range(REST_STEPS):
+        if not w.at_work():
             break
         w.loop.fire()
         w.loop.settle()
@@ -143,21 +145,13 @@
         w.close()
 
 
-def listener_end(w: World, client: listener.Client) -> Any:
-    from checker.loop import Transport  # noqa: PLC0415
-
+def listener_end(w: World, client: listener.Client) -> Transport:
     door = Transport(w.loop, client, 0)
     client.connection_made(door)  # type: ignore[arg-type]
-    w.story.asks.update({f"a{n}": _ask(n) for n in range(10)})
+    w.story.asks.update({f"a{n}": Ask(f"a{n}", str(n), "safe", 1.0, extra=True, at=1000.0) for n in range(10)})
     return door
 
 
-def _ask(n: int) -> Any:
-    from checker.story import Ask  # noqa: PLC0415
-
-    return Ask(f"a{n}", str(n), "safe", 1.0, extra=True, at=1000.0)
-
-
 def sent_heads(data: bytes) -> list[bytes]:
     """What a strict server reads of what an endpoint was sent."""
     server = h11.Connection(h11.SERVER)
@@ -387,28 +381,29 @@
     st.lists(inner, max_size=2), st.dictionaries(st.text(max_size=4), inner, max_size=2)), max_leaves=4))
 
 
-@SAME
-@given(st.lists(st.tuples(st.lists(st.integers(0, 20), min_size=1, max_size=4), JSON), min_size=1, max_size=3))
-def test_any_configuration_of_the_platform(changes: list[tuple[list[int], Any]]) -> None:
-    conf: Any = PLATFORM
+CHANGES = st.lists(st.tuples(st.lists(st.integers(0, 20), min_size=1, max_size=4), JSON), min_size=1, max_size=3)
+
+
+def read(parse: Callable[[Any], object], conf: Any, changes: list[tuple[list[int], Any]]) -> None:
+    """It is read, or its faults are told."""
     for path, value in changes:
         conf = _changed(conf, path, value)
     try:
-        platform.parse(conf, {})
+        parse(conf)
     except ConfigError as error:
         assert str(error)
 
 
+@SAME
+@given(CHANGES)
+def test_any_configuration_of_the_platform(changes: list[tuple[list[int], Any]]) -> None:
+    read(lambda conf: platform.parse(conf, {}), PLATFORM, changes)
+
+
 EXAMPLE = tomllib.loads((DATA.parents[1] / "deploy" / "gateusher.example.toml").read_text())
 
 
 @SAME
-@given(st.lists(st.tuples(st.lists(st.integers(0, 20), min_size=1, max_size=4), JSON), min_size=1, max_size=3))
+@given(CHANGES)
 def test_any_configuration_in_toml(changes: list[tuple[list[int], Any]]) -> None:
-    conf: Any = EXAMPLE
-    for path, value in changes:
-        conf = _changed(conf, path, value)
-    try:
-        toml_config.parse(conf)
-    except ConfigError as error:
-        assert str(error)
+    read(toml_config.parse, EXAMPLE, changes)
