An operators' address: ready, and clients sent away and taken back

Connections in use end with their next answer and only those that bring nothing for 1.4 s are closed; rejected: closing them at once as at SIGTERM, which crosses requests on their way for nothing.

--- a/gateusher/cli/run.py
+++ b/gateusher/cli/run.py
@@ -43,6 +43,7 @@
     loop = asyncio.get_running_loop()
     try:
         sidecar = Sidecar(config)
+        await sidecar.start()
     except OSError as error:
         say("listen", error)
         return 2
--- a/gateusher/config/file.py
+++ b/gateusher/config/file.py
@@ -82,6 +82,7 @@
     classes: dict[str, Class]
     name: Name = "gateusher"
     listen: str | None = None           # the daemon's; the library needs none
+    admin: str | None = None            # the operators' own address: ready, lameduck
     authority: Name = "origin.svc"      # Host where the library's caller or an HTTP/1.0 client brings none
     zone: str = ""                      # where this process runs
     zones: list[str] = field(default_factory=list)
@@ -187,6 +188,7 @@
         seen.add(name)
     _address(_table(data.get("discovery")).get("address"), "discovery.address", faults)
     _address(data.get("listen"), "listen", faults)
+    _address(data.get("admin"), "admin", faults)
 
 
 def _class(cls: Class) -> ClassSettings:
@@ -230,7 +232,7 @@
         methods=tuple(frozenset(m.encode() for m in c.methods) if c.methods else usual_methods(Effect(c.effect))
                       for c in classes),
         serves=APPLICATION if file.answers == "application" else OK_ONLY, authority=file.authority,
-        margin_s=limits.margin, drain_s=limits.drain)
+        margin_s=limits.margin, drain_s=limits.drain, admin=address(file.admin) if file.admin else None)
 
 
 def load(path: str) -> Config:
--- a/gateusher/config/platform.py
+++ b/gateusher/config/platform.py
@@ -87,6 +87,7 @@
     fields.amount(known.get("seq"), "known.seq", 0)
     fields.of(known.get("hosts"), "known.hosts", list, [])
     bounds = fields.of(raw.get("bounds", {}), "settings.bounds", dict, {})
+    admin = env.get("BALANCER_ADMIN_ADDR") or conf.get("admin_addr")
     config = Config(
         name=fields.of(env.get("BALANCER_NAME") or conf.get("name"), "name", str, ""),
         listen=fields.address(env.get("BALANCER_LISTEN") or conf.get("listen"), "listen"),
@@ -98,7 +99,8 @@
         known=known, settings=settings,
         names=Names({k.encode(): v for k, v in classes.items()}, {k.encode(): v for k, v in tenants.items()},
                     zones, kinds),
-        methods=tuple(usual_methods(c.effect) for c in settings.classes))
+        methods=tuple(usual_methods(c.effect) for c in settings.classes),
+        admin=fields.address(admin, "admin_addr") if admin else None)
     if fields.faults:
         raise ConfigError(*fields.faults)
     return config
--- a/gateusher/daemon.py
+++ b/gateusher/daemon.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from .config.model import Config
+from .listeners.admin import Admin
 from .listeners.http import END_S, Server
 from .node import SWEEP_S, Node
 
@@ -27,10 +28,18 @@
         except OSError:
             self.node.close()
             raise
+        self.admin = Admin({(b"GET", b"/_ready"): lambda: self.server.ready,
+                            (b"PUT", b"/_lameduck/on"): self.server.send_away,
+                            (b"PUT", b"/_lameduck/off"): self.server.take_back})
         self.ended = asyncio.Event()
         self._drain_by = 0.0
         self._sweeping = self._loop.call_later(SWEEP_S, self._sweep)
 
+    async def start(self) -> None:
+        """Open the operators' address, where there is one.  Raises OSError where it can't listen."""
+        if self.node.config.admin:
+            await self.admin.start(self.node.config.admin)
+
     def _sweep(self) -> None:
         self.server.sweep()
         self._sweeping = self._loop.call_later(SWEEP_S, self._sweep)
@@ -56,5 +65,6 @@
 
     def close(self) -> None:
         self._sweeping.cancel()
+        self.admin.close()
         self.server.close()
         self.node.close()
--- a/gateusher/listeners/http.py
+++ b/gateusher/listeners/http.py
@@ -19,6 +19,7 @@
 from ..config.model import Names, key_of
 from ..core.engine import MOST_BODY, Call, Ending, Engine, Fault, Final
 from ..upstream.interface import HOP, Headers
+from .phases import END, LAME, SEND_AWAY, TAKE_BACK, Phases
 
 MOST_HEAD = 32768            # bytes of a request's header block
 MOST_PATIENCE_MS = 3.6e6
@@ -260,7 +261,7 @@
         known, server = self._known, self._server
         path, _, query = self._url.partition(b"?")
         if path == b"/_health":
-            return 503 if server.draining else 200
+            return 503 if server.phases.away else 200
         label = path[1:].partition(b"/")[0]
         if b"host" not in known:
             if self._parser.get_http_version() == "1.1":
@@ -311,8 +312,8 @@
         """Nothing is kept here for a request past its answer."""
 
     def _head(self, call: _Asked, status: int, headers: bytes, length: int) -> bytes:
-        # While draining, the last answer on a connection says that it closes.
-        if self._server.draining and len(self._queue) == 1 and not self._in_message:
+        # Where clients are sent away, the last answer on a connection says that it closes.
+        if self._server.phases.away and len(self._queue) == 1 and not self._in_message:
             call.keep = False
         framing = b"Content-Length: %d\r\n" % length if length >= 0 else b""
         return b"HTTP/1.1 %d %b\r\n%b%b%b\r\n" % (
@@ -355,8 +356,7 @@
         self._fds = descriptors
         self._clients: set[Client] = set()
         self._tasks: set[asyncio.Task[object]] = set()
-        self.draining = False
-        self._drained_at = 0.0
+        self.phases = Phases()
         self._socket: socket.socket | None = socket.create_server(
             where, backlog=BACKLOG, family=socket.AF_INET6 if ":" in where[0] else socket.AF_INET)
         self._socket.setblocking(False)
@@ -440,13 +440,31 @@
         for client in idle[:max(0, len(idle) - self._fds.most_idle)]:
             if now - client.at > CROWDED_S:
                 client.close()
+        if self.phases.phase == LAME:
+            for client in list(self._clients):
+                if client.idle and not self.phases.spares_idle(now, client.at, client.used):
+                    client.close()
+
+    # -- sending clients away
+
+    @property
+    def ready(self) -> bool:
+        """This process takes clients, and is to."""
+        return self._socket is not None and not self.phases.away
+
+    def send_away(self) -> bool:
+        """An operator's drain: nothing ends but the connections.  Whether it holds now."""
+        return self.phases.move(SEND_AWAY, self.loop.time())
+
+    def take_back(self) -> bool:
+        """Clients are welcome again; those that were sent away are not called back.  Whether it holds now."""
+        return self.phases.move(TAKE_BACK, self.loop.time())
 
     # -- the planned end
 
     def drain(self) -> None:
         """SIGTERM: go on as before for those who come, but keep no connection for another request."""
-        self.draining = True
-        self._drained_at = self.loop.time()
+        self.phases.move(END, self.loop.time())
         self._close_idle(False)
 
     def _close_idle(self, unused: bool) -> None:
@@ -456,7 +474,7 @@
 
     def drained(self) -> bool:
         """One step of the drain; whether nothing is in hand any more."""
-        since = self.loop.time() - self._drained_at
+        since = self.phases.since(self.loop.time())
         if self._socket and since >= STOP_LISTENING_S:
             self._accept()  # those who wait in the queue were told that they are connected
             if self._socket:
--- /dev/null
+++ b/gateusher/listeners/phases.py
@@ -0,0 +1,64 @@
+"""Whether clients are wanted: the listener's phases as a table, with no socket and no clock of its own.
+
+**Serving** keeps connections.  **Lame** still answers all that comes, and yet sends clients away: health says no,
+each answer ends its connection, and what stands idle is closed, so that soon nobody is left.  It can be taken
+back.  **Ending** is the way out of the process and can't be.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from ..base.machine import Table
+
+SERVING: Final = "serving"
+LAME: Final = "lame"
+ENDING: Final = "ending"
+
+SEND_AWAY: Final = "send away"    # by an operator
+TAKE_BACK: Final = "take back"    # by an operator
+END: Final = "end"                # by a signal
+
+PHASE = Table("listener", {
+    SERVING: {SEND_AWAY: LAME, TAKE_BACK: SERVING, END: ENDING},
+    LAME: {SEND_AWAY: LAME, TAKE_BACK: SERVING, END: ENDING},
+    ENDING: {END: ENDING},
+})
+
+LEAVE_ALONE_S = 1.4   # a kept connection has so long to bring the request whose answer ends it
+SETTLED_S = 0.3       # after that, one that was opened so recently may still be about to be used
+
+
+class Phases:
+    """The phase, since when, and what it asks of a connection that carries nothing.  Times are seconds."""
+
+    def __init__(self) -> None:
+        self.phase: str = SERVING
+        self._since = 0.0
+
+    @property
+    def away(self) -> bool:
+        """Clients are to go: health says no, and the last answer of each connection ends it."""
+        return self.phase != SERVING
+
+    def move(self, event: str, now: float) -> bool:
+        """Whether the phase is what was asked for now; one that is asked for twice counts from the first time."""
+        if event not in PHASE.moves[self.phase]:
+            return False
+        after = PHASE.move(self.phase, event)
+        if after != self.phase:
+            self.phase, self._since = after, now
+        return True
+
+    def since(self, now: float) -> float:
+        """How long it has been in this phase."""
+        return now - self._since
+
+    def spares_idle(self, now: float, at: float, used: bool) -> bool:
+        """While lame: whether a connection without a request, which was last of use at `at`, may stay open.
+
+        Closing at once would cross requests that are on their way; each of these costs its client a second try.
+        So those in use end with their next answer, and what brings nothing for a while is closed.  It could
+        harm where a client asks exactly so rarely; it sees a connection that was closed between two requests.
+        """
+        return self.since(now) < LEAVE_ALONE_S or (not used and now - at < SETTLED_S)
