Upgrades: the listening socket passes from one process to the next, on one budget

Design: a successor asks the old process for its listening socket over a Unix socket in the private folder (SCM_RIGHTS). Both accept from one queue, so nobody in it is lost whoever ends; the old one lends descriptors, ends each connection with its next answer and takes the door back where the successor dies. Rejected: two listeners by SO_REUSEPORT alone (what waits in the queue of the one that closes is reset; kept as the way out where nobody answers), a parent that holds the socket (the platform starts the second process by itself), fixed halves of the budget.

Descriptors kept spare: 64 -> 40; an idle daemon has 14, operators may have 16.

--- a/gateusher/base/limits.py
+++ b/gateusher/base/limits.py
@@ -5,7 +5,9 @@
 import threading
 from collections.abc import Callable
 
-SPARE_DESCRIPTORS = 64  # standard streams, poller, listener, discovery, and closes that are under way
+# A dozen for standard streams, poller, signals, listeners, handover and discovery, 16 for operators, and the rest for
+# closes that are under way.
+SPARE_DESCRIPTORS = 40
 CLIENT_SHARE = 0.6      # part of the rest that clients may hold: without endpoints none could be served
 IDLE_PART = 8           # one part in so many may be clients' connections that stand idle
 
@@ -54,11 +56,23 @@
     """Sockets in use.  At the limit an idle one is given up for the new one."""
 
     def __init__(self, sockets: int, pool: Pool | None = None) -> None:
+        self.used, self._pool = 0, pool
+        self.reclaimers: list[Callable[[], bool]] = []
+        self.resize(sockets)
+
+    def resize(self, sockets: int) -> None:
+        """Another limit, spare ones included; what stands idle beyond it is closed."""
         self.most = max(8, sockets - SPARE_DESCRIPTORS)
         self.most_clients = int(self.most * CLIENT_SHARE)
         self.most_idle = max(4, self.most // IDLE_PART)
-        self.used, self._pool = 0, pool
-        self.reclaimers: list[Callable[[], bool]] = []
+        for _ in range(self.used - self.most):  # each counts until its close is through, some turns later
+            if not self.reclaim():
+                break
+
+    @property
+    def held(self) -> int:
+        """Of the process's limit, what is in use and what is kept spare."""
+        return self.used + SPARE_DESCRIPTORS
 
     def take(self) -> bool:
         """One more; where all are in use an idle one is closed for it, and counts until it is gone."""
--- a/gateusher/cli/run.py
+++ b/gateusher/cli/run.py
@@ -1,4 +1,7 @@
-"""`gateusher run`: the daemon, its signals and its exit code: 0 after a drain, 2 for an unusable configuration."""
+"""`gateusher run`: the daemon, its signals and its exit code: 0 after a drain, 2 for an unusable configuration.
+
+Started once more beside itself it takes over from the process that serves; see `gateusher/handover`.
+"""
 
 from __future__ import annotations
 
@@ -14,6 +17,8 @@
 from ..config import platform
 from ..config.model import Config, ConfigError
 from ..daemon import Sidecar
+from ..handover import channel
+from ..handover.channel import Inherited
 
 
 def load(path: str | None, env: Mapping[str, str]) -> Config:
@@ -39,10 +44,10 @@
     sidecar.follow(config)
 
 
-async def _run(config: Config, path: str | None) -> int:
+async def _run(config: Config, path: str | None, inherited: Inherited | None, meeting: str | None) -> int:
     loop = asyncio.get_running_loop()
     try:
-        sidecar = Sidecar(config)
+        sidecar = Sidecar(config, inherited, meeting)
         await sidecar.start()
     except OSError as error:
         say("listen", error)
@@ -66,5 +71,7 @@
         for fault in error.faults:
             say("configuration", fault)
         return 2
+    meeting = channel.place(config.name, os.environ)
+    inherited = channel.ask(meeting) if meeting else None
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        return runner.run(_run(config, path))
+        return runner.run(_run(config, path, inherited, meeting))
--- a/gateusher/daemon.py
+++ b/gateusher/daemon.py
@@ -3,45 +3,68 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 
 from .config.model import Config
+from .handover.channel import Inherited
+from .handover.succession import Succession
 from .listeners.admin import Admin
 from .listeners.http import END_S, Server
 from .node import SWEEP_S, Node
 
 DRAIN_STEP_S = 0.02
 GIVE_UP_S = 3.6     # after SIGTERM: SIGKILL comes 3.7 s after it at the earliest
+HEAR_S = 0.5        # how long a successor waits for the list before it serves by the one that it was given
 
 
 class Sidecar:
-    """Serves from the moment it is made.  Raises OSError where it can't listen."""
+    """Serves from the moment it is made, or from `start` on with what it has inherited.
 
-    def __init__(self, config: Config) -> None:
+    Raises OSError where it can't listen.  `meeting` is where its own successor will come to, None for nowhere.
+    """
+
+    def __init__(self, config: Config, inherited: Inherited | None = None, meeting: str | None = None) -> None:
         if config.listen is None:
             raise OSError("no address to listen on")
         self._loop = asyncio.get_running_loop()
+        self._inherited, self._meeting = inherited, meeting
         self.node = Node(config)
         self.engine, self.discovery = self.node.engine, self.node.discovery
         try:
             self.server = Server(config.listen, config.names, self.engine, self.node.memory,
-                                 self.node.descriptors, config.authority)
+                                 self.node.descriptors, config.authority, inherited.door if inherited else None,
+                                 meeting is not None)
         except OSError:
             self.node.close()
             raise
         self.admin = Admin({(b"GET", b"/_ready"): lambda: self.server.ready,
                             (b"PUT", b"/_lameduck/on"): self.server.send_away,
                             (b"PUT", b"/_lameduck/off"): self.server.take_back})
+        self.succession = Succession(config.sockets, config.memory_mb, self.server, self.node.hold,
+                                     lambda: self.node.descriptors.held)
         self.ended = asyncio.Event()
         self._drain_by = 0.0
         self._sweeping = self._loop.call_later(SWEEP_S, self._sweep)
 
     async def start(self) -> None:
-        """Open the operators' address, where there is one.  Raises OSError where it can't listen."""
+        """Open the operators' address, where there is one, and take over.  Raises OSError where it can't listen."""
         if self.node.config.admin:
             await self.admin.start(self.node.config.admin)
+        if self._inherited:
+            self.succession.inherit(self._inherited)
+            # Clients lose nothing meanwhile, and the list that was handed in may be as old as the old process.
+            self.discovery.watch()
+            with suppress(TimeoutError):
+                async with asyncio.timeout(HEAR_S):
+                    await self.discovery.heard.wait()
+            self.server.open()
+            self.succession.serving()
+        if self._meeting:
+            self.succession.meet(self._meeting)
 
     def _sweep(self) -> None:
         self.server.sweep()
+        self.succession.tick()
         self._sweeping = self._loop.call_later(SWEEP_S, self._sweep)
 
     def follow(self, config: Config) -> None:
@@ -53,6 +76,7 @@
         if not self._drain_by:
             self._drain_by = self._loop.time() + GIVE_UP_S
             self.engine.end_by(self.node.clock.now() + END_S * 1000)
+            self.succession.ending()
             self.server.drain()
             self._drain_step()
 
@@ -68,3 +92,4 @@
         self.admin.close()
         self.server.close()
         self.node.close()
+        self.succession.close()  # last: the successor takes all of the budget when this ends
--- a/gateusher/discovery/catalog.py
+++ b/gateusher/discovery/catalog.py
@@ -104,6 +104,7 @@
         self._loop = asyncio.get_running_loop()
         self._watch: _Watch | None = None
         self.seq = 0
+        self.heard = asyncio.Event()  # the service itself has told something since the start
         self.lost_track = False  # the next watch must begin with the whole list, whatever its version
         self._move_by = 0.0      # until then a new address is tried at once
         self._again: asyncio.TimerHandle | None = None
@@ -176,6 +177,7 @@
             self.lost_track = True
             raise LineError(f"version went back from {self.seq} to {seq}")
         self.seq = seq
+        self.heard.set()
         if fresh:
             self.lost_track = False
         self._tell(ListKind.FULL if whole else ListKind.CHANGES, lines)
--- a/gateusher/discovery/fixed.py
+++ b/gateusher/discovery/fixed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import Any
 
@@ -18,6 +19,8 @@
                  update: Callable[[list[HostLine], bool], None], knows: Callable[[HostLine], bool]) -> None:
         self._names, self._news, self._update, self._knows = names, news, update, knows
         self._version = 0
+        self.heard = asyncio.Event()
+        self.heard.set()   # there is nobody else to hear
 
     def cached(self, known: dict[str, Any]) -> None:
         """The list at the start."""
--- a/gateusher/listeners/admin.py
+++ b/gateusher/listeners/admin.py
@@ -12,7 +12,7 @@
 
 import httptools
 
-MOST_OPEN = 24         # callers at once; beyond that the one that has waited for the longest goes
+MOST_OPEN = 16         # callers at once; beyond that the one that has waited for the longest goes
 MOST_CALL = 8192       # bytes of a call, head and body
 UNFINISHED_S = 5.0     # a call that isn't whole by then is given up
 
--- a/gateusher/listeners/http.py
+++ b/gateusher/listeners/http.py
@@ -19,7 +19,7 @@
 from ..config.model import Names, key_of
 from ..core.engine import MOST_BODY, Call, Ending, Engine, Fault, Final
 from ..upstream.interface import HOP, Headers
-from .phases import END, LAME, SEND_AWAY, TAKE_BACK, Phases
+from .phases import END, ENDING, HAND, RECLAIM, SEND_AWAY, SERVING, TAKE_BACK, Phases
 
 MOST_HEAD = 32768            # bytes of a request's header block
 MOST_PATIENCE_MS = 3.6e6
@@ -261,7 +261,7 @@
         known, server = self._known, self._server
         path, _, query = self._url.partition(b"?")
         if path == b"/_health":
-            return 503 if server.phases.away else 200
+            return 200 if server.phases.healthy else 503
         label = path[1:].partition(b"/")[0]
         if b"host" not in known:
             if self._parser.get_http_version() == "1.1":
@@ -350,26 +350,57 @@
     """The listener and all connections of the application's."""
 
     def __init__(self, where: tuple[str, int], names: Names, engine: Engine, memory: Bytes,
-                 descriptors: Descriptors, authority: str) -> None:
+                 descriptors: Descriptors, authority: str, door: socket.socket | None = None,
+                 shared: bool = False) -> None:
+        """Listens at `where` at once, or with `open` on a `door` that another process has made.
+
+        `shared` lets a second process listen at the same address (SO_REUSEPORT, socket(7)).
+        """
         self.loop = asyncio.get_running_loop()
         self.names, self.engine, self.memory, self.authority = names, engine, memory, authority.encode()
         self._fds = descriptors
         self._clients: set[Client] = set()
         self._tasks: set[asyncio.Task[object]] = set()
         self.phases = Phases()
-        self._socket: socket.socket | None = socket.create_server(
-            where, backlog=BACKLOG, family=socket.AF_INET6 if ":" in where[0] else socket.AF_INET)
-        self._socket.setblocking(False)
-        self.loop.add_reader(self._socket, self._accept)
+        self._accepting = False
+        self._socket: socket.socket | None = door
+        if door is None:
+            self._socket = socket.create_server(
+                where, backlog=BACKLOG, family=socket.AF_INET6 if ":" in where[0] else socket.AF_INET,
+                reuse_port=shared)
+            self._socket.setblocking(False)
+            self.open()
         descriptors.reclaimers.append(self._reclaim)
 
+    def open(self) -> None:
+        """Begin to accept."""
+        if self._socket and not self._accepting:
+            self._accepting = True
+            self.loop.add_reader(self._socket, self._accept)
+
+    def _stop_accepting(self) -> None:
+        if self._socket and self._accepting:
+            self._accepting = False
+            self.loop.remove_reader(self._socket)
+
+    def _stop_listening(self) -> None:
+        self._stop_accepting()
+        if self._socket:
+            self._socket.close()
+            self._socket = None
+
+    @property
+    def door(self) -> socket.socket | None:
+        """What it listens on; None where it has stopped for good."""
+        return self._socket
+
     @property
     def port(self) -> int:
         return int(self._socket.getsockname()[1]) if self._socket else 0
 
     def _accept(self) -> None:
         """Take all connections that wait, as far as there is room for them."""
-        while self._socket:
+        while self._socket and self._accepting:
             if len(self._clients) >= self._fds.most_clients or not self._fds.take():
                 # A descriptor is free only when its connection is gone, some turns of the loop later.  Until
                 # then nothing is accepted on its account, or a crowd comes in faster than others are closed.
@@ -403,13 +434,13 @@
             self.lost(client)
 
     def _pause(self, why: object) -> None:
-        if self._socket:
+        if self._socket and self._accepting:
             say("accepting pauses", why)
             self.loop.remove_reader(self._socket)
             self.loop.call_later(ACCEPT_PAUSE_S, self._resume)
 
     def _resume(self) -> None:
-        if self._socket:
+        if self._socket and self._accepting:
             self.loop.add_reader(self._socket, self._accept)
 
     def lost(self, client: Client) -> None:
@@ -440,7 +471,7 @@
         for client in idle[:max(0, len(idle) - self._fds.most_idle)]:
             if now - client.at > CROWDED_S:
                 client.close()
-        if self.phases.phase == LAME:
+        if self.phases.away and (self.phases.phase != ENDING or self.phases.handed):
             for client in list(self._clients):
                 if client.idle and not self.phases.spares_idle(now, client.at, client.used):
                     client.close()
@@ -450,7 +481,7 @@
     @property
     def ready(self) -> bool:
         """This process takes clients, and is to."""
-        return self._socket is not None and not self.phases.away
+        return self._accepting and self.phases.phase == SERVING
 
     def send_away(self) -> bool:
         """An operator's drain: nothing ends but the connections.  Whether it holds now."""
@@ -460,12 +491,30 @@
         """Clients are welcome again; those that were sent away are not called back.  Whether it holds now."""
         return self.phases.move(TAKE_BACK, self.loop.time())
 
+    # -- another process at the same address
+
+    def hand_over(self) -> None:
+        """A successor accepts from the same socket: nobody is accepted here, and those who are here go by and by.
+
+        The socket stays open, so that the door can be taken back.
+        """
+        if self.phases.move(HAND, self.loop.time()):
+            self._stop_accepting()
+
+    def reclaim(self) -> None:
+        """The successor is gone: accept again."""
+        if self.phases.move(RECLAIM, self.loop.time()):
+            self.open()
+
     # -- the planned end
 
     def drain(self) -> None:
         """SIGTERM: go on as before for those who come, but keep no connection for another request."""
         self.phases.move(END, self.loop.time())
-        self._close_idle(False)
+        if self.phases.handed:
+            self._stop_listening()  # the successor has the queue
+        else:
+            self._close_idle(False)
 
     def _close_idle(self, unused: bool) -> None:
         for client in list(self._clients):
@@ -477,11 +526,9 @@
         since = self.phases.since(self.loop.time())
         if self._socket and since >= STOP_LISTENING_S:
             self._accept()  # those who wait in the queue were told that they are connected
-            if self._socket:
-                self.loop.remove_reader(self._socket)
-                self._socket.close()
-                self._socket = None
-        self._close_idle(since >= CLOSE_NEW_S)
+            self._stop_listening()
+        if not self.phases.handed:
+            self._close_idle(since >= CLOSE_NEW_S)
         if since >= END_S:
             for client in list(self._clients):
                 if client.sending:
@@ -491,9 +538,6 @@
         return self._socket is None and not self._clients
 
     def close(self) -> None:
-        if self._socket:
-            self.loop.remove_reader(self._socket)
-            self._socket.close()
-            self._socket = None
+        self._stop_listening()
         for client in list(self._clients):
             client.close()
--- a/gateusher/node.py
+++ b/gateusher/node.py
@@ -20,6 +20,11 @@
 MEMORY_SHARE = 3    # one part in so many of the memory limit may be bodies and answers
 
 
+def _bodies(memory_mb: float) -> int:
+    """Bytes of bodies and answers that a process with so much memory may hold."""
+    return int(memory_mb * 1048576 / MEMORY_SHARE)
+
+
 class Node:
     """Takes calls from the moment it is made, on the running loop, until `close`."""
 
@@ -27,7 +32,7 @@
         self.config = config
         self.loop = asyncio.get_running_loop()
         self.clock = Clock()
-        self.memory = Bytes(int(config.memory_mb * 1048576 / MEMORY_SHARE), memory)
+        self.memory = Bytes(_bodies(config.memory_mb), memory)
         self.descriptors = Descriptors(config.sockets, sockets)
         settings = config.settings
         self.engine = Engine(settings, config.methods, config.seed, self.clock, self.loop.call_later,
@@ -58,6 +63,11 @@
         elif not config.discovery and not isinstance(self.discovery, Discovery):
             self.discovery.replace(config.known)
 
+    def hold(self, sockets: int, memory_mb: float) -> None:
+        """Other limits from now on; nothing that is in use is taken away."""
+        self.memory.most = _bodies(memory_mb)
+        self.descriptors.resize(sockets)
+
     def close(self) -> None:
         """End at once: open calls get their final answers, connections close, no timer is left."""
         self._sweeping.cancel()
--- /dev/null
+++ b/tests/handover/test_upgrade.py
@@ -0,0 +1,365 @@
+"""One process after the other at one address, under load: in one loop, and as real processes."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+from pathlib import Path
+
+import pytest
+
+from gateusher.base.limits import SPARE_DESCRIPTORS
+from gateusher.config import platform
+from gateusher.daemon import Sidecar
+from gateusher.handover import channel
+from gateusher.handover.channel import Inherited
+from gateusher.handover.machine import LEAST_LENT
+from gateusher.listeners.phases import HANDED, SERVING
+
+from ..helpers import HANG_S
+from ..net import OK, Discovery, Endpoint, Reader, Writer, configuration, host, look, read_message, unused
+from ..test_sockets import ROOT, run, status
+
+FULL = 256 - SPARE_DESCRIPTORS
+
+
+class Pair:
+    """An old process and its successor, here in one."""
+
+    def __init__(self, folder: Path, endpoint: Endpoint, discovery: Discovery) -> None:
+        self.endpoint, self.discovery = endpoint, discovery
+        self.path = str(folder / "door.sock")
+        self.made: list[Sidecar] = []
+        conf = configuration([host("e0", endpoint.port)], discovery.port, limits={"memory_mb": 64, "sockets": 256})
+        self.config = platform.parse(conf, {})._replace(listen=("127.0.0.1", 0))
+
+    async def start(self) -> Sidecar:
+        sidecar = Sidecar(self.config, None, self.path)
+        self.made.append(sidecar)
+        await sidecar.start()
+        self.port = sidecar.server.port
+        return sidecar
+
+    async def inherit(self) -> Inherited:
+        inherited = await asyncio.to_thread(channel.ask, self.path)
+        assert inherited
+        return inherited
+
+    async def successor(self, inherited: Inherited) -> Sidecar:
+        sidecar = Sidecar(self.config, inherited, self.path)
+        self.made.append(sidecar)
+        await sidecar.start()
+        return sidecar
+
+    async def connect(self) -> tuple[Reader, Writer]:
+        return await asyncio.open_connection("127.0.0.1", self.port)
+
+    async def ask(self, name: str) -> bytes:
+        reader, writer = await self.connect()
+        writer.write(look(name))
+        head, _ = await asyncio.wait_for(read_message(reader), HANG_S)
+        writer.close()
+        return head
+
+
+@asynccontextmanager
+async def pair(folder: Path, endpoint: Endpoint | None = None) -> AsyncIterator[Pair]:
+    endpoint = endpoint or Endpoint()
+    await endpoint.start()
+    discovery = Discovery([host("e0", endpoint.port)])
+    await discovery.start()
+    p = Pair(folder, endpoint, discovery)
+    try:
+        yield p
+    finally:
+        for sidecar in p.made:
+            sidecar.close()
+        for server in (discovery.server, endpoint.server):
+            server.close()
+
+
+async def until(true: object) -> None:
+    assert callable(true)
+    async with asyncio.timeout(HANG_S):
+        while not true():
+            await asyncio.sleep(0.005)
+
+
+def test_an_upgrade_under_load_loses_nobody(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with pair(tmp_path) as p:
+            old = await p.start()
+            stop, answered = asyncio.Event(), []
+
+            async def client(n: int) -> None:
+                reader, writer = await p.connect()
+                k = 0
+                while not stop.is_set():
+                    writer.write(look(f"c{n}-{k}"))
+                    head, body = await read_message(reader)
+                    answered.append((status(head), body))
+                    k += 1
+                    if b"Connection: close" in head:
+                        writer.close()
+                        reader, writer = await p.connect()
+                writer.close()
+
+            clients = [asyncio.create_task(client(n)) for n in range(8)]
+            await until(lambda: len(answered) > 50)
+            new = await p.successor(await p.inherit())
+            await until(lambda: old.server.phases.phase == HANDED)
+            seen = len(answered)
+            await until(lambda: len(answered) > seen + 50)
+            old.drain()
+            await asyncio.wait_for(old.ended.wait(), HANG_S)
+            seen = len(answered)
+            await until(lambda: len(answered) > seen + 50)
+            stop.set()
+            await asyncio.gather(*clients)
+            assert set(answered) == {(200, b"ok")}
+            assert new.server.ready and not old.server.ready
+            assert new.node.descriptors.most == 256 - SPARE_DESCRIPTORS
+            assert new.node.memory.most == 64 * 1048576 // 3
+    run(test())
+
+
+def test_who_waits_in_the_queue_is_served_whoever_ends(tmp_path: Path) -> None:
+    """Nobody accepts between the one and the other; the requests lie in the kernel meanwhile."""
+    async def test() -> None:
+        async with pair(tmp_path) as p:
+            old = await p.start()
+            inherited = await p.inherit()
+            await until(lambda: old.node.descriptors.most < FULL)
+            old.server.hand_over()
+            waiting = [await p.connect() for _ in range(20)]
+            for n, (_, writer) in enumerate(waiting):
+                writer.write(look(f"w{n}"))
+            old.drain()
+            await asyncio.wait_for(old.ended.wait(), HANG_S)
+            await p.successor(inherited)
+            for reader, writer in waiting:
+                head, _ = await asyncio.wait_for(read_message(reader), HANG_S)
+                assert status(head) == 200
+                writer.close()
+    run(test())
+
+
+def test_a_kept_connection_ends_with_its_next_answer_and_health_stays_well(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with pair(tmp_path) as p:
+            old = await p.start()
+            reader, writer = await p.connect()
+            writer.write(look("first"))
+            head, _ = await read_message(reader)
+            assert b"Connection: close" not in head
+            health, health_writer = await p.connect()
+            health_writer.write(look("second"))
+            await read_message(health)
+            await p.successor(await p.inherit())
+            await until(lambda: old.server.phases.phase == HANDED)
+            old.drain()
+            writer.write(look("third"))
+            head, _ = await read_message(reader)
+            assert status(head) == 200 and b"Connection: close" in head
+            assert await asyncio.wait_for(reader.read(), HANG_S) == b""
+            health_writer.write(b"GET /_health HTTP/1.1\r\nHost: o\r\n\r\n")
+            head, _ = await read_message(health)
+            assert status(head) == 200
+            for w in (writer, health_writer):
+                w.close()
+    run(test())
+
+
+@pytest.mark.parametrize("serving", [False, True])
+def test_a_successor_that_goes_gives_the_door_back(tmp_path: Path, serving: bool) -> None:
+    async def test() -> None:
+        async with pair(tmp_path) as p:
+            old = await p.start()
+            inherited = await p.inherit()
+            await until(lambda: old.node.descriptors.most < FULL)
+            if serving:
+                new = await p.successor(inherited)
+                await until(lambda: old.server.phases.phase == HANDED)
+                new.close()
+            else:
+                inherited.line.close()
+                inherited.door.close()
+            await until(lambda: old.node.descriptors.most == FULL)
+            await until(lambda: old.server.phases.phase == SERVING)
+            assert old.node.memory.most == 64 * 1048576 // 3
+            head = await p.ask("after")
+            assert status(head) == 200 and b"Connection: close" not in head
+            # And the next one may come, where it is still to be found.
+            if not serving:
+                again = await p.successor(await p.inherit())
+                assert again.server.ready
+    run(test())
+
+
+def test_the_two_together_hold_no_more_than_one(tmp_path: Path) -> None:
+    """The old one full of open requests: its successor gets what is free, and more as they end."""
+    async def test() -> None:
+        go, came = asyncio.Event(), []
+
+        async def wait(_: bytes, writer: Writer) -> None:
+            came.append(1)
+            await go.wait()
+            writer.write(OK)
+
+        async with pair(tmp_path, Endpoint(wait)) as p:
+            old = await p.start()
+            limit = old.node.config.sockets
+            open_ones = [await p.connect() for _ in range(80)]
+            for n, (_, writer) in enumerate(open_ones):
+                writer.write(look(f"o{n}"))
+            await until(lambda: len(came) == 80)
+            new = await p.successor(await p.inherit())
+            await until(lambda: old.server.phases.phase == HANDED)
+            # Both dials and clients were out when it asked, so it lends little; nothing that is in use goes.
+            assert old.node.descriptors.held == SPARE_DESCRIPTORS + 160
+            lent = new.node.descriptors.most + SPARE_DESCRIPTORS
+            assert lent == LEAST_LENT
+            go.set()
+            for reader, writer in open_ones:
+                head, _ = await read_message(reader)
+                assert status(head) == 200
+                writer.close()
+            await until(lambda: new.node.descriptors.most + SPARE_DESCRIPTORS > lent)
+            await until(lambda: old.node.descriptors.held + new.node.descriptors.most + SPARE_DESCRIPTORS <= limit)
+    run(test())
+
+
+# -- the line between them
+
+def peer(path: str) -> socket.socket:
+    sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    sock.settimeout(HANG_S)
+    sock.connect(path)
+    return sock
+
+
+@pytest.mark.parametrize("data", [b"\x00", b"[1]", b"{", b'{"take": 99}', b'{"serving": true}', b"{}", b"[" * 3000])
+def test_a_peer_that_makes_no_sense_takes_nothing(tmp_path: Path, data: bytes) -> None:
+    async def test() -> None:
+        async with pair(tmp_path) as p:
+            old = await p.start()
+            sock = peer(p.path)
+            sock.send(data)
+            sock.setblocking(False)
+            assert status(await p.ask("one")) == 200
+            sock.close()
+            await until(lambda: old.succession._down is None)
+            assert old.server.ready and old.node.descriptors.most == FULL
+            assert (await p.successor(await p.inherit())).server.ready
+    run(test())
+
+
+@pytest.mark.parametrize("answer", [None, b"{", b"{}", b'{"sockets": "x", "memory_mb": 1}', b'{"sockets": 9}'])
+def test_an_old_process_that_makes_no_sense_is_done_without(tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
+                                                            answer: bytes | None) -> None:
+    monkeypatch.setattr(channel, "ANSWER_S", 0.2 if answer is None else HANG_S)
+    path = str(tmp_path / "door.sock")
+    with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as listener, socket.socket() as door:
+        listener.bind(path)
+        listener.listen()
+
+        async def test() -> None:
+            asked = asyncio.create_task(asyncio.to_thread(channel.ask, path))
+            sock, _ = await asyncio.to_thread(listener.accept)
+            with sock:
+                if answer is not None:
+                    socket.send_fds(sock, [answer], [door.fileno()])
+                assert await asked is None
+
+        run(test())
+
+
+def test_where_no_process_is_there_is_nothing_to_inherit(tmp_path: Path) -> None:
+    path = str(tmp_path / "door.sock")
+    assert channel.ask(path) is None
+    with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as left:  # of a process that was killed
+        left.bind(path)
+    assert channel.ask(path) is None
+
+
+def test_the_meeting_place_is_private(tmp_path: Path) -> None:
+    assert channel.place("n0", {}) is None
+    assert channel.place("n0", {"TMPDIR": str(tmp_path / "none")}) is None
+    tmp_path.chmod(0o777)
+    assert channel.place("n0", {"TMPDIR": str(tmp_path)}) is None
+    tmp_path.chmod(0o700)
+    assert channel.place("../n 0", {"TMPDIR": str(tmp_path)}) == str(tmp_path / "gateusher-___n_0.sock")
+
+
+# -- real processes
+
+class Machine:
+    """A folder, a configuration and the processes that are started there."""
+
+    def __init__(self, tmp_path: Path, endpoint: Endpoint, discovery: Discovery) -> None:
+        self.where = unused()
+        self.folder = tmp_path / ("long" * 30)  # longer than a socket's address may be
+        self.folder.mkdir(mode=0o700)
+        self.path = tmp_path / "config.json"
+        self.path.write_text(json.dumps(configuration([host("e0", endpoint.port)], discovery.port,
+                                                      listen="{}:{}".format(*self.where))))
+        self.processes: list[asyncio.subprocess.Process] = []
+
+    async def begin(self) -> None:
+        """Start one more, until it says that it is ready."""
+        admin = unused()
+        self.processes.append(await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "gateusher", cwd=ROOT,
+            env={**os.environ, "BALANCER_CONFIG": str(self.path), "TMPDIR": str(self.folder),
+                 "BALANCER_ADMIN_ADDR": "{}:{}".format(*admin)}))
+        async with asyncio.timeout(HANG_S):
+            while True:
+                with suppress(OSError):
+                    reader, writer = await asyncio.open_connection(*admin)
+                    writer.write(b"GET /_ready HTTP/1.1\r\nHost: o\r\n\r\n")
+                    data = await reader.read()
+                    writer.close()
+                    if data and status(data) == 200:
+                        return
+                await asyncio.sleep(0.02)
+
+    async def ask(self, name: str) -> None:
+        reader, writer = await asyncio.open_connection(*self.where)
+        writer.write(look(name))
+        assert status((await asyncio.wait_for(read_message(reader), HANG_S))[0]) == 200
+        writer.close()
+
+    async def close(self) -> None:
+        for process in self.processes:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+
+
+@pytest.mark.parametrize("end", [signal.SIGTERM, signal.SIGKILL])
+def test_a_second_process_takes_over_from_the_first(tmp_path: Path, end: signal.Signals) -> None:
+    async def test() -> None:
+        async with pair(tmp_path) as p:
+            m = Machine(tmp_path, p.endpoint, p.discovery)
+            try:
+                await m.begin()
+                await m.ask("a")
+                await m.begin()
+                first, second = m.processes
+                assert first.returncode is None
+                first.send_signal(end)
+                for n in range(50):
+                    await m.ask(f"b{n}")
+                assert await asyncio.wait_for(first.wait(), HANG_S) == (0 if end is signal.SIGTERM else -end)
+                await m.ask("c")
+                await m.begin()  # and the third from the second
+                second.send_signal(signal.SIGTERM)
+                assert await asyncio.wait_for(second.wait(), HANG_S) == 0
+                await m.ask("d")
+            finally:
+                await m.close()
+    run(test())
