SIGHUP takes up classes, attempts and waits; open requests keep theirs

Design: the core knows a class by an index; a class whose settings differ gets another slot, and the old one stays as it was while a request holds it (config/classes.py, pure). The module learns of it by an event of its own and goes on with what it learnt under the same name. Rejected: to write into the slot (an open unsafe request would be sent again because its class is safe now), to hold the settings in each request (events must stay plain numbers), to apply the file late (a class must be there when it is first named). Requests with the old form are taken by the old meaning for 1.3 s. A file that lacks a key of the running one is refused whole.

The tests cut the file at every 41st byte, drop each key and try eleven bad values for each number.

--- a/gateusher/cli/run.py
+++ b/gateusher/cli/run.py
@@ -21,10 +21,10 @@
 from ..handover.channel import Inherited
 
 
-def load(path: str | None, env: Mapping[str, str]) -> Config:
+def load(path: str | None, env: Mapping[str, str], before: Config | None = None) -> Config:
     """A TOML file where one is named, the platform's JSON otherwise."""
     if path is None:
-        return platform.load(env)
+        return platform.load(env, before.shape if before else None)
     from ..config.file import load as load_file  # noqa: PLC0415 - the platform's daemon needs none of it
 
     return load_file(path)
@@ -37,7 +37,7 @@
     with a new file, the old configuration serves on; that could hide a mistake, so it is logged.
     """
     try:
-        config = load(path, {k: v for k, v in env.items() if k != "BALANCER_DISCOVERY"})
+        config = load(path, {k: v for k, v in env.items() if k != "BALANCER_DISCOVERY"}, sidecar.config)
     except ConfigError as error:
         say("reload: the old configuration stays", error)
         return
--- /dev/null
+++ b/gateusher/config/classes.py
@@ -0,0 +1,65 @@
+"""Classes of requests that change in service: a table of slots in which nothing open ever changes under way.
+
+A class is known to the core by its slot, a small number.  A new configuration never writes into a slot that a request
+may still hold: a class whose settings differ gets another slot, and the one that it had stays as it was for as long
+as requests with it are open, or may still come.  Slots that nobody can mean any more are used again, so that a
+thousand reloads take no more room than two.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Sequence
+from typing import NamedTuple
+
+from ..policy.interface import ClassSettings
+
+
+class Kind(NamedTuple):
+    """A class as one configuration has it."""
+
+    name: bytes
+    settings: ClassSettings
+    methods: frozenset[bytes]
+
+
+class Change(NamedTuple):
+    """What a new configuration does to the table."""
+
+    kinds: tuple[Kind, ...]                          # all slots, former classes among them
+    fresh: tuple[tuple[int, int | None], ...]        # slots that are new, and whose experience each may begin with
+    live: tuple[int, ...]                            # slots of the present configuration
+
+
+class Classes:
+    """The slots, and which of them each name means."""
+
+    def __init__(self, kinds: Sequence[Kind]) -> None:
+        self.kinds: list[Kind] = list(kinds)
+        self.current: dict[bytes, int] = {kind.name: i for i, kind in enumerate(kinds)}
+        self.former: dict[bytes, int] = {}   # names that meant something else, or anything at all, before
+
+    def change(self, kinds: Sequence[Kind], held: Collection[int]) -> Change:
+        """Take up these classes.  `held`: slots of open requests.
+
+        What a name meant until now is kept as `former`: a request that was sent before its client could know comes
+        with that one's method and means that one.  What it meant before that is nobody's any more.
+        """
+        before, after, fresh = self.current, dict[bytes, int](), list[tuple[int, int | None]]()
+        taken = {*before.values(), *held}
+        free = [slot for slot in range(len(self.kinds)) if slot not in taken]
+        for kind in kinds:
+            old = before.get(kind.name)
+            if old is not None and self.kinds[old] == kind:
+                after[kind.name] = old
+                continue
+            if free:
+                slot = free.pop(0)
+                self.kinds[slot] = kind
+            else:
+                slot = len(self.kinds)
+                self.kinds.append(kind)
+            after[kind.name] = slot
+            fresh.append((slot, old))
+        self.current = after
+        self.former = {name: slot for name, slot in before.items() if after.get(name) != slot}
+        return Change(tuple(self.kinds), tuple(fresh), tuple(after.values()))
--- a/gateusher/config/model.py
+++ b/gateusher/config/model.py
@@ -53,6 +53,7 @@
     authority: str = "origin.svc"           # the Host of the library's requests that bring none, and of HTTP/1.0's
     margin_s: float = 0.01                  # what an inherited deadline is cut by
     drain_s: float = 3.4                    # how long a planned end waits for what is open
+    shape: dict[str, Any] | None = None     # the platform's file: what a new one must hold too
     admin: tuple[str, int] | None = None    # the operators' own address; None: there is none
 
 
--- a/gateusher/config/platform.py
+++ b/gateusher/config/platform.py
@@ -41,7 +41,10 @@
         found: dict[str, int] = {}
         for index, item in enumerate(self.of(settings.get(key) or [], f"settings.{key}", list, [])):
             name = item.get("name") if isinstance(item, dict) else item
-            found[self.of(name, f"settings.{key}[{index}].name", str, "")] = index
+            name = self.of(name, f"settings.{key}[{index}].name", str, "")
+            if name in found:
+                self.faults.append(f"settings.{key}[{index}].name: {name!r} is there twice")
+            found[name] = index
         return found
 
 
@@ -61,14 +64,35 @@
     return conf
 
 
-def load(env: Mapping[str, str]) -> Config:
+def load(env: Mapping[str, str], shape: Mapping[str, Any] | None = None) -> Config:
     """The configuration file that BALANCER_CONFIG names, with what the other variables say first."""
-    return parse(read(env.get("BALANCER_CONFIG")), env)
-
-
-def parse(conf: dict[str, Any], env: Mapping[str, str]) -> Config:
-    """Raises ConfigError with all faults."""
+    return parse(read(env.get("BALANCER_CONFIG")), env, shape)
+
+
+def _lacks(new: Any, old: Any, path: str) -> list[str]:
+    """Keys of `old` that `new` is without, by their paths; in a list, keys that every old object has."""
+    faults = []
+    if isinstance(old, Mapping) and isinstance(new, Mapping):
+        for key, value in old.items():
+            where = f"{path}.{key}" if path else key
+            faults += _lacks(new[key], value, where) if key in new else [f"{where}: missing"]
+    elif isinstance(old, list) and isinstance(new, list) and old and all(isinstance(o, Mapping) for o in old):
+        common = {key: None for key in old[0] if all(key in o for o in old)}
+        for i, item in enumerate(new):
+            faults += _lacks(item, common, f"{path}[{i}]")
+    return faults
+
+
+def parse(conf: dict[str, Any], env: Mapping[str, str], shape: Mapping[str, Any] | None = None) -> Config:
+    """Raises ConfigError with all faults.
+
+    `shape` is the file that holds now, where there is one.  A key that it has and this one lacks is a fault: at the
+    start a key that is left out has its default, but in service a file that has lost one was cut or half written,
+    and a default would change what nobody asked to change.  It could harm who drops an optional key on purpose:
+    that one is told its path, and restarts.
+    """
     fields = _Fields()
+    fields.faults += _lacks(conf, shape, "") if shape else []
     limits = fields.of(conf.get("limits", {}), "limits", dict, {})
     raw = fields.of(conf.get("settings"), "settings", dict, {})
     try:
@@ -100,7 +124,8 @@
         names=Names({k.encode(): v for k, v in classes.items()}, {k.encode(): v for k, v in tenants.items()},
                     zones, kinds),
         methods=tuple(usual_methods(c.effect) for c in settings.classes),
-        admin=fields.address(admin, "admin_addr") if admin else None)
+        admin=fields.address(admin, "admin_addr") if admin else None,
+        shape={k: v for k, v in conf.items() if k not in ("known", "peers")})
     if fields.faults:
         raise ConfigError(*fields.faults)
     return config
--- a/gateusher/core/engine.py
+++ b/gateusher/core/engine.py
@@ -18,7 +18,7 @@
 from ..base.log import say
 from ..policy import Balancer
 from ..policy.interface import (Action, AttemptEnded, Cancel, CloseIdle, Departed, Effect, Event, Fail, Outcome,
-                                Probe, Probed, Refuse, Request, Send, SetTimer, Settings, TimerFired, Watch)
+                                Probe, Probed, Refuse, Request, Retuned, Send, SetTimer, Settings, TimerFired, Watch)
 from ..upstream.interface import LEAST_MS, NEVER_RAN, Attempt, Headers, Message, Reply
 from .states import ANSWERED, CONCLUDE, LEAVE, LEFT, MAKING, OPEN, REQUEST, REST, TAKE
 
@@ -63,8 +63,8 @@
 class Call(Message):
     """One request of a client: from its last byte until it is answered and its attempts are over."""
 
-    __slots__ = ("attempts", "client", "cls", "deadline", "key", "keyed", "last", "name", "ran", "repeat", "rid",
-                 "served", "state", "tenant", "timer", "tries", "work_ms", "write_by")
+    __slots__ = ("attempts", "client", "cls", "deadline", "key", "keyed", "last", "most", "name", "ran", "repeat",
+                 "rid", "served", "state", "tenant", "timer", "tries", "work_ms", "write_by")
 
     def __init__(self, client: Asking, method: bytes, target: bytes, headers: Headers, body: bytes | bytearray,
                  cls: int = 0, name: bytes = b"") -> None:
@@ -74,7 +74,7 @@
         self.work_ms = 0.0
         self.keyed = self.repeat = False
         self.rid, self.deadline = 0, 0.0
-        self.tries = 0
+        self.tries = self.most = 0    # attempts made, and allowed
         self.state: str = MAKING      # see core/states.py; the engine alone moves it
         self.ran = False              # an attempt has ended that may have run
         self.served = False           # an attempt was answered, whoever still wanted it
@@ -216,6 +216,7 @@
         call.rid, self._next_id = self._next_id, self._next_id + 1
         now = self._clock.now()
         call.deadline = min(now + patience_ms, self._latest)
+        call.most = self._settings.max_attempts
         self.calls[call.rid] = call
         self._names.add(call.name)
         if len(self.calls) > self._most_held:
@@ -255,6 +256,12 @@
                 left = (latest_ms - self._clock.now()) / 1000
                 call.timer = self._call_later(left, self._overdue, call)
 
+    def retune(self, settings: Settings, methods: tuple[frozenset[bytes], ...],
+               fresh: tuple[tuple[int, int | None], ...], live: tuple[int, ...]) -> None:
+        """Other settings for what comes from now on; see `Retuned`."""
+        self._settings, self._methods = settings, methods
+        self.deliver(Retuned(settings, fresh, live))
+
     def close(self) -> None:
         """End at once: what is open gets its final answer, what is out is given up, no timer is left."""
         for call in list(self.calls.values()):
@@ -334,7 +341,7 @@
             call.tries += 1
             expires = min(expires, call.deadline) if expires > 0 else call.deadline
             left = min(expires, call.write_by) - now
-            if call.state == OPEN and number < self._settings.max_attempts and left >= LEAST_MS:
+            if call.state == OPEN and number < min(call.most, self._settings.max_attempts) and left >= LEAST_MS:
                 sent = call.attempts[number] = Sent(self, call, number, eid, now, expires)
                 self.upstream.start(sent)
                 return
--- a/gateusher/daemon.py
+++ b/gateusher/daemon.py
@@ -27,6 +27,7 @@
         if config.listen is None:
             raise OSError("no address to listen on")
         self._loop = asyncio.get_running_loop()
+        self.config = config
         self._inherited, self._meeting = inherited, meeting
         self.node = Node(config)
         self.engine, self.discovery = self.node.engine, self.node.discovery
@@ -69,7 +70,9 @@
 
     def follow(self, config: Config) -> None:
         """Take up a new configuration, as far as the node can."""
+        self.config = config
         self.node.follow(config)
+        self.server.rename(self.node.names, self.node.classes.former)
 
     def drain(self) -> None:
         """Begin the planned end; `ended` is set when nothing is in hand, in time before the kill."""
--- a/gateusher/listeners/http.py
+++ b/gateusher/listeners/http.py
@@ -34,6 +34,7 @@
 BACKLOG = 1024
 ACCEPT_PAUSE_S = 0.05
 STOP_LISTENING_S = 0.55      # after SIGTERM: new connections come for 0.4 s
+FORMER_S = 1.3              # after new settings: clients go by them 1.2 s later
 CLOSE_NEW_S = 0.65           # connections on which nothing has come by then stay unused
 END_S = 3.4                  # SIGKILL comes 3.7 s after SIGTERM at the earliest
 
@@ -44,6 +45,7 @@
            504: b"Gateway Timeout"}
 STATUS = {Ending.REFUSED: 503, Ending.FAILED: 502, Ending.TIMED_OUT: 504}
 FAULTS = {fault: 400 for fault in Fault} | {Fault.METHOD: 405, Fault.CONFLICT: 409}
+FORM = (Fault.METHOD, Fault.KEY)  # it isn't what its class looks like
 # What the sidecar acts on: where one is there twice, nobody can tell which of them is meant.
 ONCE = {b"x-request-id", b"x-class", b"x-deadline", b"x-tenant", b"idempotency-key", b"x-retry",
         b"x-cost-hint", b"content-length", b"transfer-encoding", b"host"}
@@ -267,17 +269,30 @@
             if self._parser.get_http_version() == "1.1":
                 return 400  # RFC 9112, 3.2: whom it is meant for can't be told
             self._headers.insert(0, (b"Host", server.authority))  # endpoints are spoken to in 1.1
-        cls = server.names.classes.get(known.get(b"x-class", label))
+        classes = server.names.classes
+        name = known.get(b"x-class", label)
         patience = _plain(known.get(b"x-deadline"), 1000.0, MOST_PATIENCE_MS)
-        if path[:1] != b"/" or cls is None or server.names.classes.get(label) != cls or patience is None:
+        if path[:1] != b"/" or name != label or patience is None:
             return 400
-        call.cls, call.name, call.keyed = cls, known.get(b"x-request-id", b""), bool(known.get(b"idempotency-key"))
+        call.name, call.keyed = known.get(b"x-request-id", b""), bool(known.get(b"idempotency-key"))
         call.key = key_of(query) if query else 0
         call.tenant = server.names.tenants.get(known.get(b"x-tenant", b""), 0)
         call.work_ms = _plain(known.get(b"x-cost-hint"), 0.001, 1e9) or 0.0
         call.repeat = known.get(b"x-retry") == b"1"
-        fault = server.engine.take(call, patience)
-        return FAULTS[fault] if fault else 0
+        # A client that was sent on before it could know of new settings means what its class was then: the method
+        # and the key tell.  It could harm where a class is dropped because it must not run even a moment longer.
+        status = 400
+        for meaning in (classes, server.former) if server.former else (classes,):
+            cls = meaning.get(name)
+            if cls is not None:
+                call.cls = cls
+                fault = server.engine.take(call, patience)
+                if fault is None:
+                    return 0
+                status = FAULTS[fault]
+                if fault not in FORM:
+                    break
+        return status
 
     def _drop_body(self) -> None:
         self._server.memory.give(len(self._body))
@@ -359,6 +374,8 @@
         self.loop = asyncio.get_running_loop()
         self.names, self.engine, self.memory, self.authority = names, engine, memory, authority.encode()
         self._fds = descriptors
+        self.former: dict[bytes, int] = {}   # what classes were until just now
+        self._former_until = 0.0
         self._clients: set[Client] = set()
         self._tasks: set[asyncio.Task[object]] = set()
         self.phases = Phases()
@@ -465,6 +482,8 @@
         they stay; a client that comes back to one after a pause must open it anew.
         """
         now = self.loop.time()
+        if self.former and now > self._former_until:
+            self.former = {}
         for client in list(self._clients):
             client.sweep(now)
         idle = sorted((c for c in self._clients if c.used and c.idle), key=lambda c: c.at)
@@ -476,6 +495,11 @@
                 if client.idle and not self.phases.spares_idle(now, client.at, client.used):
                     client.close()
 
+    def rename(self, names: Names, former: dict[bytes, int]) -> None:
+        """Classes go by these names from now on, and for a moment by their `former` meaning too."""
+        self.names, self.former = names, former
+        self._former_until = self.loop.time() + FORMER_S
+
     # -- sending clients away
 
     @property
--- a/gateusher/node.py
+++ b/gateusher/node.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from .base.clock import Clock
 from .base.limits import Bytes, Descriptors, Pool
+from .config.classes import Classes, Kind
 from .config.model import Config
 from .core.engine import Engine
 from .discovery.catalog import Discovery
@@ -25,6 +27,12 @@
     return int(memory_mb * 1048576 / MEMORY_SHARE)
 
 
+def _kinds(config: Config) -> list[Kind]:
+    """The classes of a configuration, in its order."""
+    names = sorted(config.names.classes, key=config.names.classes.__getitem__)
+    return [Kind(*kind) for kind in zip(names, config.settings.classes, config.methods, strict=True)]
+
+
 class Node:
     """Takes calls from the moment it is made, on the running loop, until `close`."""
 
@@ -34,7 +42,7 @@
         self.clock = Clock()
         self.memory = Bytes(_bodies(config.memory_mb), memory)
         self.descriptors = Descriptors(config.sockets, sockets)
-        settings = config.settings
+        self.settings = settings = config.settings
         self.engine = Engine(settings, config.methods, config.seed, self.clock, self.loop.call_later,
                              config.most_held, self.memory)
         self.upstream = Upstream(settings, config.serves, self.clock, self.memory, self.descriptors,
@@ -48,6 +56,8 @@
 
             self.discovery = Fixed(config.names, self.engine.deliver, self.upstream.update, self.upstream.knows)
         self.engine.upstream, self.engine.discovery = self.upstream, self.discovery
+        self.classes = Classes(_kinds(config))
+        self.names = config.names
         self.discovery.cached(config.known)
         self._sweeping = self.loop.call_later(SWEEP_S, self._sweep)
 
@@ -57,7 +67,18 @@
         self._sweeping = self.loop.call_later(SWEEP_S, self._sweep)
 
     def follow(self, config: Config) -> None:
-        """Take up a new configuration: where the list comes from.  All else holds from the start on."""
+        """Take up a new configuration: where the list comes from, the classes, attempts, waits and idle times.
+
+        Limits, zones, kinds, tenants and reports hold from the start on.
+        """
+        change = self.classes.change(_kinds(config), {call.cls for call in self.engine.calls.values()})
+        new, old = config.settings, self.settings
+        self.settings = replace(
+            old, classes=tuple(kind.settings for kind in change.kinds), max_attempts=new.max_attempts,
+            max_retry_after_ms=new.max_retry_after_ms, dial_timeout_ms=new.dial_timeout_ms, idle_ms=new.idle_ms)
+        self.names = self.names._replace(classes=self.classes.current)
+        self.engine.retune(self.settings, tuple(kind.methods for kind in change.kinds), change.fresh, change.live)
+        self.upstream.retune(self.settings)
         if config.discovery and isinstance(self.discovery, Discovery):
             self.discovery.move(config.discovery)
         elif not config.discovery and not isinstance(self.discovery, Discovery):
--- a/gateusher/policy/brain.py
+++ b/gateusher/policy/brain.py
@@ -12,8 +12,8 @@
 from random import Random
 
 from .interface import (Action, AttemptEnded, CloseIdle, Departed, Effect, Endpoint, Event, Fail,
-                        ListKind, ListNews, Outcome, Probe, Probed, Refuse, Request, Scope, Send, SetTimer,
-                        Settings, State, StreamBegan, TimerFired, Watch)
+                        ListKind, ListNews, Outcome, Probe, Probed, Refuse, Request, Retuned, Scope, Send,
+                        SetTimer, Settings, State, StreamBegan, TimerFired, Watch)
 from .records import Lane, Server, Work, spread
 
 RAISE, LOWER = 0.1, 0.15         # a and b of the automaton
@@ -45,12 +45,12 @@
         self.total, self.floor = 0.0, 0.01
         self.watching, self.watch_fails, self.watch_from = False, 0, 0.0
         self.work: dict[int, Work] = {}
+        self.live: tuple[int, ...] = tuple(range(len(settings.classes)))
         self.full, self.room, self.room_at = 0.0, ROOM_MOST, 0.0
         self.ring: list[tuple[int, Server]] = []
         self.mix = [1.0 / len(settings.classes)] * len(settings.classes)
         classes = settings.classes
-        self.most_worth = max([1e-9] + [c.worth for c in classes])
-        self.unit = max([1.0] + [c.aim_ms for c in classes]) / 4  # waits follow the deployment's pace
+        self._pace()
         self.target = [c.aim_ms / 4 for c in classes]
         self.service = [c.aim_ms / 4 for c in classes]
         self.fit = [[1.0] * len(classes) for _ in range(settings.kinds + 1)]
@@ -65,6 +65,43 @@
             handler(self, event)
         return self.acts
 
+    # -- settings
+
+    def _pace(self) -> None:
+        classes = [self.s.classes[i] for i in self.live]
+        self.most_worth = max([1e-9] + [c.worth for c in classes])
+        self.unit = max([1.0] + [c.aim_ms for c in classes]) / 4  # waits follow the deployment's pace
+
+    def _retuned(self, news: Retuned) -> None:
+        """Other settings.  What was learnt of a class goes on under its new index: it is the same work.
+
+        A class that nobody knew begins as all did at the start.  Requests in hand keep their index, and have
+        the fewer of the attempts that old and new settings allow.  It could mislead for a moment where a
+        class keeps its name and becomes other work.
+        """
+        self.s, self.live = news.settings, news.live
+        classes = self.s.classes
+        for column in (self.mix, self.target, self.service, *self.fit):
+            column.extend([1.0] * (len(classes) - len(column)))
+        self.count += [0] * (len(classes) - len(self.count))
+        for cls, heir in news.fresh:
+            start = classes[cls].aim_ms / 4
+            known = heir is not None and self.count[heir] > 0
+            self.target[cls] = self.target[heir] if known and heir is not None else start
+            self.service[cls] = self.service[heir] if known and heir is not None else start
+            self.count[cls] = self.count[heir] if heir is not None else 0
+            for fit in self.fit:
+                fit[cls] = fit[heir] if heir is not None else 1.0
+            self.mix[cls] = self.mix[heir] if heir is not None else 1.0 / len(news.live)
+            if heir is not None:
+                self.mix[heir] = 0.0
+            for server in self.servers.values():
+                server.lanes.pop(cls, None)
+        for cls in range(len(classes)):
+            if cls not in news.live:
+                self.mix[cls] = 0.0
+        self._pace()
+
     # -- the list
 
     def _news(self, news: ListNews) -> None:
@@ -297,6 +334,7 @@
             aim = settings.aim_ms + settings.aim_stretch * request.work_ms
             last = min(last, now + aim - self.s.tick_ms)
         work = self.work[request.request] = Work(request.request, request.cls, request.key, now, last)
+        work.most = self.s.max_attempts
         for cls in range(len(self.mix)):
             self.mix[cls] += ((cls == request.cls) - self.mix[cls]) * 0.02
         if not self._admit(work.cls):
@@ -309,7 +347,7 @@
         """Send the next attempt, hold the request, or end it."""
         left = work.give_up - self.now
         tries, needed = len(work.sent), self.service[work.cls] / 2
-        if left <= 0 or tries >= self.s.max_attempts or (tries and left < needed):
+        if left <= 0 or tries >= min(work.most, self.s.max_attempts) or (tries and left < needed):
             return self._end(work)
         if tries > work.held:
             work.held = tries
@@ -371,7 +409,7 @@
     def _send(self, work: Work, server: Server) -> None:
         now, settings = self.now, self.s.classes[work.cls]
         expires = work.give_up
-        if settings.effect is not Effect.UNSAFE and len(work.sent) + 1 < self.s.max_attempts:
+        if settings.effect is not Effect.UNSAFE and len(work.sent) + 1 < min(work.most, self.s.max_attempts):
             patience = max(0.45 * (work.give_up - now), 3.0 * self.target[work.cls])
             expires = min(expires, now + patience)
         load = self._score(server, work.cls) / (self.service[work.cls] * self.fit[server.info.kind][work.cls])
@@ -560,4 +598,4 @@
 HANDLERS: dict[type, Callable[..., None]] = {
     ListNews: Balancer._news, Request: Balancer._request, AttemptEnded: Balancer._ended,
     TimerFired: Balancer._timer, Departed: Balancer._departed, StreamBegan: Balancer._began,
-    Probed: Balancer._probed}
+    Probed: Balancer._probed, Retuned: Balancer._retuned}
--- a/gateusher/policy/interface.py
+++ b/gateusher/policy/interface.py
@@ -185,7 +185,15 @@
     data: bytes
 
 
-Event = ListNews | Request | AttemptEnded | StreamBegan | Departed | TimerFired | Probed | Heard
+class Retuned(NamedTuple):
+    """Other settings from now on.  Requests in hand keep their class, which keeps its index and what it says."""
+
+    settings: Settings                              # all classes, also those that only open requests still have
+    fresh: tuple[tuple[int, int | None], ...]       # indexes that mean another class now, and the one each follows
+    live: tuple[int, ...]                           # those that requests still come with
+
+
+Event = ListNews | Request | AttemptEnded | StreamBegan | Departed | TimerFired | Probed | Heard | Retuned
 
 
 class Send(NamedTuple):
--- a/gateusher/policy/records.py
+++ b/gateusher/policy/records.py
@@ -67,6 +67,7 @@
     held: int = 0                 # the number of tries it last paused after
     home: Server | None = None    # where a keyed request may first have run, and when it was sent there
     home_at: float = 0.0
+    most: int = 1                 # attempts that it may have
 
 
 def spread(n: int) -> int:
--- a/gateusher/simulator/settings.py
+++ b/gateusher/simulator/settings.py
@@ -36,6 +36,13 @@
             return 0.0
         return float(value)
 
+    def positive(self, key: str, default: float | None = None) -> float:
+        value = self.raw.get(key, default)
+        if value == 0 and not isinstance(value, bool):
+            self.fault(key, "a number above 0")
+            return 1.0
+        return self.number(key, default)
+
     def choice(self, key: str, choices: dict[str, Any], default: str | None = None) -> Any:
         value = self.raw.get(key, default)
         if not isinstance(value, str) or value not in choices:
@@ -69,8 +76,8 @@
 
 def _class(lane: _Table) -> ClassSettings:
     return ClassSettings(
-        effect=lane.choice("effect", EFFECTS), aim_ms=lane.number("objective_ms"),
-        deadline_ms=lane.number("give_up_ms"), worth=lane.number("worth", 1.0),
+        effect=lane.choice("effect", EFFECTS), aim_ms=lane.positive("objective_ms"),
+        deadline_ms=lane.positive("give_up_ms"), worth=lane.number("worth", 1.0),
         late_worth=lane.number("late_worth", 0.0), window_ms=lane.number("window_ms", 0.0),
         scope=lane.choice("group", {s.value: s for s in Scope}, "all"),
         stream=bool(lane.raw.get("stream")), aim_stretch=lane.number("aim_stretch", 0.0))
@@ -97,7 +104,7 @@
         quotas_per_s=tuple(t.number("quota_per_s", 0.0) for t in conf.tables("tenants")),
         over_share_worth=conf.number("over_share_worth", 1.0),
         prices=Prices(**{k: prices.number(k, 0.0) for k in PRICES}),
-        tick_ms=conf.number("tick_ms", 1.0), max_attempts=max(1, int(bounds.number("max_attempts", 1))),
+        tick_ms=conf.number("tick_ms", 1.0), max_attempts=max(1, int(bounds.positive("max_attempts", 1))),
         may_probe=bool(bounds.raw.get("probes")), may_cancel=bool(bounds.raw.get("may_cancel")),
         may_duplicate=bool(bounds.raw.get("may_duplicate")), retry_after=bool(bounds.raw.get("retry_after")),
         max_retry_after_ms=bounds.number("max_retry_after_ms", 0.0),
--- a/gateusher/upstream/http.py
+++ b/gateusher/upstream/http.py
@@ -321,13 +321,17 @@
         self.serves = serves.__contains__
         self._fds, self._read_report = descriptors, read_report
         self.loop = asyncio.get_running_loop()
-        self._dial_s = settings.dial_timeout_ms / 1000
-        self._idle_ms = settings.idle_ms * IDLE_PART
+        self.retune(settings)
         self.pulls_reports = settings.reports_pulled
         self._hosts: dict[int, Host] = {}
         self._conns: set[Connection] = set()
         descriptors.reclaimers.append(self._reclaim)
 
+    def retune(self, settings: Settings) -> None:
+        """Other times for what is dialled and what stands idle from now on."""
+        self._dial_s = settings.dial_timeout_ms / 1000
+        self._idle_ms = settings.idle_ms * IDLE_PART
+
     # -- the list
 
     def knows(self, line: HostLine) -> bool:
--- /dev/null
+++ b/tests/test_retune.py
@@ -0,0 +1,299 @@
+"""New settings in service: what is taken up, what is left alone, and which files change nothing."""
+
+import asyncio
+import copy
+import json
+import random
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gateusher.cli.run import reload
+from gateusher.config.classes import Classes, Kind
+from gateusher.config.model import usual_methods
+from gateusher.listeners import http as server_module
+from gateusher.policy.interface import ClassSettings, Departed, Effect, Outcome, Refuse, Request, Retuned, Send
+
+from .helpers import ended, settings, started
+from .net import LANES, OK, Discovery, Endpoint, Writer, configuration, host, look, pay, read_message, rig
+from .test_sockets import run, status
+
+# -- the table of classes
+
+SETTINGS = st.builds(ClassSettings, st.sampled_from(Effect), st.sampled_from([500.0, 1500.0]), st.just(2000.0),
+                     st.sampled_from([1.0, 5.0]))
+CONFIGS = st.dictionaries(st.sampled_from([b"a", b"b", b"c", b"d"]), SETTINGS, min_size=1)
+
+
+def kinds(config: dict[bytes, ClassSettings]) -> list[Kind]:
+    return [Kind(name, s, usual_methods(s.effect)) for name, s in config.items()]
+
+
+@given(CONFIGS, st.lists(st.tuples(CONFIGS, st.integers(0, 2**32)), max_size=12))
+def test_no_open_request_ever_sees_its_class_change(first: dict[bytes, ClassSettings],
+                                                    rest: list[tuple[dict[bytes, ClassSettings], int]]) -> None:
+    table = Classes(kinds(first))
+    held: dict[int, Kind] = {}   # slots of open requests, and what they meant when these came
+    for config, seed in rest:
+        draw = random.Random(seed)
+        held = {slot: kind for slot, kind in held.items() if draw.random() < 0.5}
+        held |= {slot: table.kinds[slot] for slot in table.current.values() if draw.random() < 0.5}
+        before, was = dict(table.current), list(table.kinds)
+        change = table.change(kinds(config), held)
+        assert all(change.kinds[slot] == kind for slot, kind in held.items())
+        assert {name: change.kinds[slot] for name, slot in table.current.items()} == {
+            kind.name: kind for kind in kinds(config)}
+        assert all(change.kinds[slot] == was[slot] for slot in before.values()), "a former meaning is kept"
+        assert table.former == {n: s for n, s in before.items() if table.current.get(n) != s}
+        assert sorted(change.live) == sorted(table.current.values())
+        assert len(set(change.live)) == len(config)
+        changed = {slot for slot, _ in change.fresh}
+        assert all(change.kinds[i] == was[i] for i in range(len(was)) if i not in changed)
+        assert all(heir == before.get(change.kinds[slot].name) for slot, heir in change.fresh)
+    assert len(table.kinds) <= 16  # four names, now and before, and what open requests hold
+
+
+# -- the module
+
+SAFE, UNSAFE = (ClassSettings(effect, aim_ms=1000, deadline_ms=3000, worth=1)
+                for effect in (Effect.SAFE, Effect.UNSAFE))
+
+
+def test_a_request_in_hand_keeps_its_class() -> None:
+    """Unsafe until a moment ago: what may have run is not sent again, although its class is safe now."""
+    balancer = started(3, settings(classes=(UNSAFE,)))
+    (sent,) = balancer.handle(1.0, Request(1, 0, 3000))
+    assert isinstance(sent, Send)
+    assert balancer.handle(2.0, Retuned(settings(classes=(UNSAFE, SAFE)), ((1, 0),), (1,))) == []
+    acts = balancer.handle(3.0, ended(1, 0, sent.endpoint, Outcome.RESET))
+    assert [type(a).__name__ for a in acts if not isinstance(a, Send)] == ["Fail"]
+    (again,) = balancer.handle(4.0, Request(2, 1, 3000))
+    assert isinstance(again, Send)
+    acts = balancer.handle(5.0, ended(2, 0, again.endpoint, Outcome.RESET))
+    assert any(isinstance(a, Send) for a in acts)
+
+
+@pytest.mark.parametrize(("before", "after", "allowed"), [(6, 2, 2), (2, 6, 2), (6, 1, 1)])
+def test_attempts_are_the_fewer_of_what_held_and_holds(before: int, after: int, allowed: int) -> None:
+    balancer = started(8, settings(classes=(SAFE,), max_attempts=before))
+    now, sent = 1.0, 0
+    acts = balancer.handle(now, Request(1, 0, 60000))
+    balancer.handle(now, Retuned(settings(classes=(SAFE,), max_attempts=after), (), (0,)))
+    while any(isinstance(a, Send) for a in acts):
+        sent += 1
+        endpoint = next(a.endpoint for a in acts if isinstance(a, Send))
+        now += 1.0
+        acts = balancer.handle(now, ended(1, sent - 1, endpoint, Outcome.ERROR))
+    assert sent == allowed
+    assert any(isinstance(a, Refuse) for a in acts)
+
+
+def test_what_was_learnt_of_a_class_goes_on_under_its_new_index() -> None:
+    balancer = started(4, settings(classes=(SAFE,)))
+    for rid in range(1, 40):
+        (sent,) = (a for a in balancer.handle(float(rid * 100), Request(rid, 0, 3000)) if isinstance(a, Send))
+        balancer.handle(rid * 100 + 20.0, ended(rid, 0, sent.endpoint, Outcome.OK, 20.0))
+    learnt = balancer.service[0], balancer.target[0], balancer.count[0]
+    assert learnt[0] < 200
+    balancer.handle(5000.0, Retuned(settings(classes=(SAFE, UNSAFE, SAFE)), ((1, 0), (2, None)), (1, 2)))
+    assert (balancer.service[1], balancer.target[1], balancer.count[1]) == learnt
+    assert (balancer.service[2], balancer.count[2]) == (250.0, 0)
+    assert balancer.mix[0] == 0.0
+
+
+@given(st.lists(st.tuples(CONFIGS, st.lists(st.sampled_from(["ask", "end", "leave"]), max_size=8)), max_size=6),
+       st.integers(0, 99))
+def test_any_order_of_settings_and_requests_is_taken(rounds: list[tuple[dict[bytes, ClassSettings], list[str]]],
+                                                     seed: int) -> None:
+    """No request gets more attempts than are allowed, and an unsafe one that may have run no second."""
+    first = {b"a": SAFE}
+    table, balancer = Classes(kinds(first)), started(4, settings(classes=(SAFE,)), seed)
+    draw, now, rid = random.Random(seed), 1.0, 0
+    out: dict[int, tuple[int, int, Effect, int]] = {}   # request: attempts, endpoint, effect, slot
+    for config, steps in rounds:
+        change = table.change(kinds(config), {entry[3] for entry in out.values()})
+        conf = settings(classes=tuple(k.settings for k in change.kinds), max_attempts=draw.randint(1, 6))
+        acts = balancer.handle(now, Retuned(conf, change.fresh, change.live))
+        for step in steps:
+            now += draw.uniform(1, 300)
+            if step == "ask" or not out:
+                rid += 1
+                slot = draw.choice(change.live)
+                acts = balancer.handle(now, Request(rid, slot, 3000))
+                out[rid] = 0, 0, change.kinds[slot].settings.effect, slot
+                request, ran = rid, False
+            elif step == "leave":
+                request = draw.choice(list(out))
+                acts, ran = balancer.handle(now, Departed(request)), False
+                out.pop(request)
+            else:
+                request = draw.choice(list(out))
+                tries, endpoint, _, _ = out[request]
+                if not tries:
+                    continue
+                outcome = draw.choice([Outcome.OK, Outcome.RESET, Outcome.FULL, Outcome.ERROR])
+                ran = outcome in (Outcome.RESET, Outcome.ERROR)
+                acts = balancer.handle(now, ended(request, tries - 1, endpoint, outcome))
+                if outcome is Outcome.OK:
+                    out.pop(request)
+            for act in acts:
+                if isinstance(act, Send):
+                    tries, _, effect, slot = out[act.request]
+                    assert not (ran and act.request == request and effect is Effect.UNSAFE)
+                    out[act.request] = tries + 1, act.endpoint, effect, slot
+                    assert tries < 6
+                elif type(act).__name__ != "SetTimer" and hasattr(act, "request"):
+                    out.pop(act.request, None)
+
+
+# -- the daemon
+
+NEW = {"name": "ship", "effect": "deduplicated", "objective_ms": 1500, "give_up_ms": 2000, "worth": 3,
+       "window_ms": 5000}
+
+
+class File:
+    """The platform's file, and SIGHUP."""
+
+    def __init__(self, folder: Path, r: Any, conf: dict[str, Any]) -> None:
+        self.path, self.r, self.conf = folder / "config.json", r, conf
+
+    def write(self, text: str) -> None:
+        self.path.write_text(text)
+        reload(self.r.sidecar, None, {"BALANCER_CONFIG": str(self.path), "BALANCER_LISTEN": "127.0.0.1:1"})
+
+    def lanes(self, *lanes: dict[str, Any], **bounds: Any) -> None:
+        conf = copy.deepcopy(self.conf)
+        conf["settings"]["lanes"] = list(lanes)
+        conf["settings"]["bounds"] |= bounds
+        self.write(json.dumps(conf))
+
+
+def setup(endpoint: Endpoint, discovery: Discovery) -> dict[str, Any]:
+    discovery.hosts = [host("e0", endpoint.port)]
+    return configuration(discovery.hosts, discovery.port)
+
+
+def ship(rid: str) -> bytes:
+    return pay(rid, more=b"Idempotency-Key: k\r\nContent-Length: 0\r\n").replace(b"pay", b"ship")
+
+
+def test_classes_come_go_and_change_while_requests_are_open(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(server_module, "FORMER_S", 1e9)
+
+    async def test() -> None:
+        go, came = asyncio.Event(), asyncio.Event()
+
+        async def wait(head: bytes, writer: Writer) -> None:
+            if b"open" in head:
+                came.set()
+                await go.wait()
+                writer.transport.abort()  # it may have run
+            else:
+                writer.write(OK)
+
+        endpoint, discovery = Endpoint(wait), Discovery([])
+        async with rig(endpoint, discovery=discovery) as r:
+            file = File(tmp_path, r, setup(endpoint, discovery))
+            assert status((await r.ask(ship("s0")))[0]) == 400
+            opened = asyncio.create_task(r.ask(pay("open")))
+            await came.wait()
+            # 'pay' was unsafe and is safe now; 'ship' is new; 'look' is gone.
+            file.lanes({**LANES[1], "effect": "idempotent"}, NEW, max_attempts=3)
+            assert status((await r.ask(ship("s1")))[0]) == 200
+            assert status((await r.ask(look("p1").replace(b"look", b"pay")))[0]) == 200  # as it is now
+            assert status((await r.ask(pay("p2")))[0]) == 200                            # as it was
+            assert status((await r.ask(look("l1")))[0]) == 200                           # dropped just now
+            go.set()
+            head, _ = await opened
+            assert status(head) == 502  # kept as unsafe: not sent again, and no word of harmless repeats
+            assert sum(b"open" in seen for seen in endpoint.seen) == 1
+            r.sidecar.server._former_until = 0.0
+            r.sidecar.server.sweep()
+            assert [status((await r.ask(data))[0]) for data in (pay("p3"), look("l2"), ship("s2"))] == [405, 400, 200]
+            assert r.sidecar.node.settings.max_attempts == 3
+            file.lanes(*LANES)
+            assert status((await r.ask(look("l3")))[0]) == 200
+            assert status((await r.ask(pay("p4")))[0]) == 200
+    run(test())
+
+
+def paths(value: Any, path: tuple[Any, ...] = ()) -> list[tuple[Any, ...]]:
+    """Every key in a configuration, but for the list of endpoints."""
+    found: list[tuple[Any, ...]] = []
+    items = value.items() if isinstance(value, dict) else enumerate(value) if isinstance(value, list) else ()
+    for key, item in items:
+        if key in ("known", "peers"):
+            continue
+        if isinstance(value, dict):
+            found.append((*path, key))
+        found += paths(item, (*path, key))
+    return found
+
+
+def without(conf: dict[str, Any], path: tuple[Any, ...]) -> dict[str, Any]:
+    conf = copy.deepcopy(conf)
+    at: Any = conf
+    for key in path[:-1]:
+        at = at[key]
+    del at[path[-1]]
+    return conf
+
+
+BAD = [0, -1, -0.5, "6", None, True, [], {}, float("nan"), float("inf"), ""]
+
+
+def test_of_a_file_that_is_broken_nothing_is_taken(tmp_path: Path) -> None:
+    async def test() -> None:
+        endpoint, discovery = Endpoint(), Discovery([])
+        async with rig(endpoint, discovery=discovery) as r:
+            conf = setup(endpoint, discovery)
+            sidecar = r.sidecar
+            sidecar.config = sidecar.config._replace(shape={k: v for k, v in conf.items() if k != "known"})
+            node, file = sidecar.node, File(tmp_path, r, conf)
+            changed = copy.deepcopy(conf)   # what each broken file would bring besides
+            changed["settings"]["lanes"].append(NEW)
+            changed["settings"]["bounds"]["max_attempts"] = 2
+            changed["discovery"] = "127.0.0.1:9"
+            text = json.dumps(changed)
+            broken = [text[:cut] for cut in range(0, len(text) - 1, 41)] + ["[]", "null", "7", text + "}"]
+            broken += [json.dumps(without(changed, path)) for path in paths(conf)]
+            for value in BAD:
+                for key in ("give_up_ms", "objective_ms"):
+                    lane = copy.deepcopy(changed)
+                    lane["settings"]["lanes"][0][key] = value
+                    broken.append(json.dumps(lane))
+                bounds = copy.deepcopy(changed)
+                bounds["settings"]["bounds"]["max_attempts"] = value
+                broken.append(json.dumps(bounds))
+            twice = copy.deepcopy(changed)
+            twice["settings"]["lanes"][0]["name"] = "pay"
+            broken.append(json.dumps(twice))
+            before = node.settings, dict(node.classes.current), sidecar.config, sidecar.discovery._where  # type: ignore
+            for data in broken:
+                file.write(data)
+                now = node.settings, node.classes.current, sidecar.config, sidecar.discovery._where  # type: ignore
+                assert now == before, data
+            assert status((await r.ask(ship("s0")))[0]) == 400
+            file.write(text)
+            assert node.settings.max_attempts == 2 and b"ship" in node.classes.current
+    run(test())
+
+
+def test_a_thousand_reloads_take_no_more_room_than_two(tmp_path: Path) -> None:
+    async def test() -> None:
+        endpoint, discovery = Endpoint(), Discovery([])
+        async with rig(endpoint, discovery=discovery) as r:
+            file = File(tmp_path, r, setup(endpoint, discovery))
+            for n in range(200):
+                file.lanes({**LANES[0], "worth": n + 1}, *LANES[1:])
+            assert len(r.sidecar.node.classes.kinds) <= 4
+            assert len(r.sidecar.engine._balancer.mix) == len(r.sidecar.node.classes.kinds)
+            reader, writer = await r.connect()
+            writer.write(look())
+            assert status((await read_message(reader))[0]) == 200
+            writer.close()
+    run(test())
