--- a/checker/answers.py
+++ b/checker/answers.py
@@ -38,6 +38,7 @@
 SORTS: dict[str, tuple[tuple[str, ...], ...]] = {
     "one that serves": (_SERVED, FRAMINGS[:3], ENDS, CUTS[:1], ("",)),
     "one that is cut": (("a 200",), FRAMINGS[:3], ENDS[:2], CUTS[1:5], ("",)),
+    "one that is cut late": (("a 200",), FRAMINGS[:3], ENDS[:2], CUTS[3:5], ("",)),
     "one that doesn't serve": (tuple(k for k in KINDS if k not in _SERVED), FRAMINGS[:1], ENDS[:2], CUTS[:1], ("",)),
     "one with something ahead": (("a 200", "a 500"), FRAMINGS[:1], ENDS[:1], CUTS[:1], tuple(AHEAD)[1:]),
     "one with more behind": (("a 200", "a 500", "a 503, not run,"), FRAMINGS[:2], ENDS[:2], CUTS[5:], ("",)),
--- a/checker/properties.py
+++ b/checker/properties.py
@@ -239,8 +239,17 @@
 
 def all_answered(world: World) -> list[str]:
     """1. "No request is lost" (BRIEF 11).  One that was never read is its client's to send once more."""
+    broken = {ask.name for line in world.lines.values() if (ask := line.broken) and may_break(world, ask)}
     return [f"{a.name} was never answered" for a in world.story.asks.values()
-            if a.open and (a.beside or a.name in world.taken or not world.lines[a.name].transport.lost)]
+            if a.open and a.name not in broken
+            and (a.beside or a.name in world.taken or not world.lines[a.name].transport.lost)]
+
+
+def may_break(world: World, ask: Ask) -> bool:
+    """1. "An answer that the sidecar has begun to pass on and can't finish through no fault of its own has failed and
+    is not lost, as long as the client can tell" (PROTOCOL, Figures): its node broke it off, or the process ended."""
+    begun = [s for s in world.story.of(ask) if s.served]
+    return world.ended or any(s.half or s.ends or s.transport.tainted for s in begun)
 
 
 def nothing_held(world: World) -> list[str]:
--- a/gateusher/core/engine.py
+++ b/gateusher/core/engine.py
@@ -102,8 +102,9 @@
 
     __slots__ = ("call", "engine", "number")
 
-    def __init__(self, engine: Engine, call: Call, number: int, eid: int, now: float, expires_ms: float) -> None:
-        super().__init__(call, eid, now, expires_ms, call.write_by)
+    def __init__(self, engine: Engine, call: Call, number: int, eid: int, now: float, expires_ms: float,
+                 coming_ms: float) -> None:
+        super().__init__(call, eid, now, expires_ms, call.write_by, coming_ms)
         self.engine, self.call, self.number = engine, call, number
 
     def ended(self, outcome: Outcome, report: tuple[float, ...], elapsed_ms: float, reply: Reply) -> None:
@@ -293,6 +294,8 @@
             if call.state == OPEN:
                 self._finish(call, CONCLUDE)
                 call.client.conclude(call, Final(Ending.SERVED, reply, 0.0, True))
+            elif reply.rest:
+                reply.rest.stop()  # nobody is left to take it
         self._release(call)
         self.deliver(AttemptEnded(call.rid, attempt.number, attempt.eid, elapsed_ms, outcome, call.over,
                                   report))
@@ -333,7 +336,7 @@
     # -- actions
 
     def _send(self, action: Send) -> None:
-        rid, eid, expires = action
+        rid, eid, expires, coming = action
         call = self.calls.get(rid)
         number = call.tries if call else 0
         now = self._clock.now()
@@ -342,7 +345,8 @@
             expires = min(expires, call.deadline) if expires > 0 else call.deadline
             left = min(expires, call.write_by) - now
             if call.state == OPEN and number < min(call.most, self._settings.max_attempts) and left >= LEAST_MS:
-                sent = call.attempts[number] = Sent(self, call, number, eid, now, expires)
+                sent = call.attempts[number] = Sent(self, call, number, eid, now, expires,
+                                                   min(coming, call.deadline))
                 self.upstream.start(sent)
                 return
         self.deliver(AttemptEnded(rid, number, eid, 0.0, Outcome.NOT_SENT, call is None or call.state != OPEN))
--- a/gateusher/core/states.py
+++ b/gateusher/core/states.py
@@ -24,6 +24,9 @@
 be an answer makes it **spoilt**, and its attempt ends as one that may have run. **Closed** is final; the
 attempt that it had has ended then, or ends in the same turn.
 
+An answer too long to be held is **passing**: its attempt has ended with it, the client has its beginning, and nothing
+can be taken back or sent again. What is left is a `Rest`, which ends whole, or cut so that the client can tell.
+
 The tables of the two below stand on the floor that moves them, `upstream/states.py`.
 """
 
--- a/gateusher/policy/brain.py
+++ b/gateusher/policy/brain.py
@@ -424,7 +424,7 @@
             server.credit -= 1.0
         work.sent.append((server, now, max(0.2, load)))
         work.out += 1
-        self.acts.append(Send(work.rid, server.eid, expires))
+        self.acts.append(Send(work.rid, server.eid, expires, work.give_up))
         if self.s.reports_pulled and self.s.may_probe and self.rnd() < 0.2 and (drawn := self._draw()):
             self.acts.append(Probe(min(drawn, key=lambda s: s.load_at).eid))
 
--- a/gateusher/policy/interface.py
+++ b/gateusher/policy/interface.py
@@ -197,9 +197,12 @@
 
 
 class Send(NamedTuple):
+    """The next attempt.  It is given up at `expires_ms`, but while its answer is coming only at `coming_ms`."""
+
     request: int
     endpoint: int
     expires_ms: float
+    coming_ms: float = 0.0   # 0: no later than `expires_ms`; the simulator's wire doesn't know it
 
 
 class Refuse(NamedTuple):
--- a/gateusher/upstream/http.py
+++ b/gateusher/upstream/http.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import select
+import socket
 from collections.abc import Callable, Iterable
 from typing import cast
 
@@ -18,15 +19,19 @@
 from ..base.limits import Bytes, Descriptors
 from ..base.log import say
 from ..base.machine import IllegalMoveError
-from .interface import HOP, LEAST_MS, NEVER_RAN, NO_REPLY, Attempt, Headers, Reply
+from .interface import HOP, LEAST_MS, NEVER_RAN, NO_REPLY, Attempt, Headers, Reply, Rest, Sink
 from .states import (ALL, BEGIN, BEGUN, CARRY, CLOSE, CLOSED, CONNECTION, DIALLING, DONE, END, ENDED, EXTRA, HAND,
-                     HEAD, HEADED, INTERIM, KEEP, MORE, PART, PARTLY, QUIET, SENT, SPOIL, SPOILT, UP, VOID,
-                     WAITING, WHOLE)
+                     HEAD, HEADED, INTERIM, KEEP, MORE, PART, PARTLY, PASS, PASSING, QUIET, SENT, SPOIL, SPOILT, UP,
+                     VOID, WAITING, WHOLE)
 
-MOST_BODY = 65536       # an answer's body
+MOST_BODY = 65536       # an answer's body that is held; a longer one is passed on as it comes, where that is possible
+MOST_PASSED = 64 << 20  # and one longer than that is no answer of this service's
+PASSED_S = 10.0         # an endpoint that gives nothing of an answer for so long has broken it off
+PASSED_BUFFER = 65536   # bytes that the kernel may hold of an answer whose reader is slower
 MOST_HEAD = 65536       # an answer's header block
 IDLE_PART = 0.8         # of the time after which an endpoint closes an idle connection
-ANSWER_S = 0.15         # an answer is whole so long after its first bytes
+ANSWER_S = 0.15         # an answer is whole so long after its first bytes, or moves
+MOVES_MS = 5.0          # one whose bytes came no further apart than that came at once, and doesn't
 SETTLE_MS = 4.0         # how long a connection rests after an answer, before it carries another request
 
 
@@ -54,7 +59,7 @@
         self._transport: asyncio.Transport | None = None
         self.dial: asyncio.Task[None] | None = None
         self.attempt: Attempt | None = None
-        self.idle_since = self.heard_ms = 0.0
+        self.idle_since = self.heard_ms = self._begun_ms = 0.0
         self.state: str = DIALLING  # see core/states.py; this object alone moves it
         self._blocked = False     # the transport holds some of what was handed to it
         self._fresh()
@@ -64,7 +69,8 @@
         self._head_size = 0
         self._headers: Headers = []
         self._hop = self._report = b""
-        self._framed = self._not_run = self._keep = self._closes = self._early = False
+        self._framed = self._not_run = self._keep = self._closes = self._early = self._long = self._chunked = False
+        self._rest: _Passed | None = None
         self._held: list[bytes] = []
         self._size = 0
 
@@ -135,6 +141,7 @@
         if self.state != CLOSED:
             self._move(CLOSE)
         self._up.lost(self)
+        self._end_rest(False)
         if self.attempt:
             self._break()
         del self._parser  # it holds this object too
@@ -142,10 +149,13 @@
     def eof_received(self) -> None:
         # httptools is never told of the end: a body that the end delimits is whole here.  Only an endpoint
         # that said so may delimit by the end: elsewhere it looks the same as an answer that broke off.
-        if self.state == HEADED and self._closes and not self._framed:
+        if self.state in (HEADED, PASSING) and self._closes and not self._framed:
             self._keep = False
             self._move(END)
-            self._done()
+            if self.attempt:
+                self._done()
+            else:
+                self._passed()
 
     def close(self) -> None:
         if self.state != CLOSED:
@@ -164,7 +174,7 @@
 
     def data_received(self, data: bytes) -> None:
         self.heard_ms = self.host.heard_ms = self._up.clock.now()
-        if self.attempt is None:
+        if self.attempt is None and self.state != PASSING:
             self._up.drop(self)  # quiet, and something came that nobody asked for
             return
         try:
@@ -177,8 +187,15 @@
                 self._move(SPOIL)
         if self.state in (WAITING, BEGUN):
             self._head_size += len(data)
-        if self.state in (WHOLE, EXTRA):
+        if self.attempt is None:
+            if self.state in (WHOLE, EXTRA):
+                self._passed()
+            elif self.state == SPOILT:
+                self.cut()
+        elif self.state in (WHOLE, EXTRA):
             self._done()
+        elif self._long and self.state == HEADED:
+            self._pass_on()
         elif self.state == SPOILT or self._head_size > MOST_HEAD:
             self._spoilt()
         elif self.state == WAITING and self._stall:
@@ -188,13 +205,88 @@
             # Heads without end, bodies shorter than their length, an endpoint that hangs in mid-answer: no
             # such answer becomes whole by waiting, and the request may still have time for another attempt.
             # It could harm an endpoint that writes its answers in parts that lie far apart.
-            self._stall = self._up.loop.call_later(ANSWER_S, self._spoilt)
+            self._stall = self._up.loop.call_later(ANSWER_S, self._stalled)
+
+    def _stalled(self) -> None:
+        """Not whole yet: one that still moves is waited for, or passed on as it comes."""
+        self._stall = None
+        if not self.coming:
+            self._spoilt()
+        elif not self.pass_early():
+            self._stall = self._up.loop.call_later(ANSWER_S, self._stalled)
+
+    @property
+    def coming(self) -> bool:
+        """Whether an answer is on its way, by more than one read that came at once, and moved of late."""
+        return (self.state == HEADED and self.heard_ms - self._begun_ms > MOVES_MS
+                and self._up.clock.now() - self.heard_ms <= ANSWER_S * 1000)
+
+    def pass_early(self) -> bool:
+        """Pass on an answer of unknown length that takes its time; whether that can be done.
+
+        It may be a long one, whose first bytes count.  From here on it can't be tried again, so one whose length is
+        known to be short is held until it is whole.
+        """
+        if self.state != HEADED or (self._framed and not self._chunked) or not self._passes:
+            return False
+        self._pass_on()
+        return True
+
+    # -- an answer too long to be held
+
+    @property
+    def loop(self) -> asyncio.AbstractEventLoop:
+        return self._up.loop
+
+    def pause_reading(self) -> None:
+        if self._transport and not self._transport.is_closing():
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        if self._transport and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def _pass_on(self) -> None:
+        """Hand on what has come: the attempt is over, and this connection serves nobody else until the end."""
+        self._move(PASS)
+        if self._transport:
+            sock = self._transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, PASSED_BUFFER)
+        rest = self._rest = _Passed(self, self._size)
+        rest.pause()
+        length = self._length if self._framed and not self._chunked else -1
+        reply = self._reply()._replace(rest=rest, length=length)
+        self._let_go()
+        attempt = self._detach()
+        self._up.report(attempt, Outcome.OK, self._report, reply)
+
+    def _passed(self) -> None:
+        """All of it has come."""
+        rest, self._rest = self._rest, None
+        if self._keep and self.state == WHOLE:
+            self.resume_reading()  # its reader may have been slower at the very end
+            self._up.release(self)
+        else:
+            self.close()
+        if rest:
+            rest.over(True)
+
+    def cut(self) -> None:
+        """It can't become whole: its reader must be able to tell."""
+        self._end_rest(False)
+        self.close()
+
+    def _end_rest(self, whole: bool) -> None:
+        rest, self._rest = self._rest, None
+        if rest:
+            rest.over(whole)
 
     def on_message_begin(self) -> None:
         if self.state == WHOLE:
             self._move(MORE)
         elif self.state == WAITING:
             self._move(BEGIN)
+            self._begun_ms = self.heard_ms
             self._early = not self._written
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -212,7 +304,7 @@
         elif name == b"x-not-run":
             self._not_run = value == b"1"
         elif name == b"transfer-encoding":
-            self._framed = True
+            self._framed = self._chunked = True
             if value.strip().lower() != b"chunked":
                 self._move(SPOIL)
         elif name not in HOP:
@@ -226,15 +318,34 @@
             return
         self._move(HEAD)
         turned_away = self._status in (503, 504) and self._not_run
-        if self._length > MOST_BODY or self._early and not turned_away:
+        # One that nobody may have in parts, or that is too long for anybody, is none.
+        long = self._length > MOST_BODY
+        passes = self._passes and self._length <= MOST_PASSED
+        if long and not passes or self._early and not turned_away:
             # An endpoint begins when the last byte has come: an answer whose first byte came before that answers
             # something else, or gives up on the request, whenever the rest of both comes.
             self._move(SPOIL)
+        elif long:
+            self._long = True
+
+    @property
+    def _passes(self) -> bool:
+        """Whether this answer may be handed on before it is whole."""
+        return self.attempt is not None and self.attempt.message.takes_rest and self._up.serves(self._status)
 
     def on_body(self, data: bytes) -> None:
+        if self.state == PASSING:
+            if self._rest and not self._rest.feed(data):
+                self._move(SPOIL)
+            return
         if self.state != HEADED or not self._up.serves(self._status):
             return  # only an answer's body is anybody's
-        if self._size + len(data) > MOST_BODY or not self._up.memory.take(len(data)):
+        if not self._long and self._size + len(data) > MOST_BODY:
+            self._long = self._passes
+            if not self._long:
+                self._move(SPOIL)
+                return
+        if not self._up.memory.take(len(data)):
             self._move(SPOIL)
             return
         self._size += len(data)
@@ -246,7 +357,7 @@
             size = self._head_size
             self._fresh()
             self._head_size = size
-        elif self.state == HEADED:
+        elif self.state in (HEADED, PASSING):
             self._move(END)
             self._keep = self._parser.should_keep_alive()
 
@@ -259,13 +370,7 @@
         attempt, status = self._detach(), self._status
         outcome, reply = Outcome.ERROR, NO_REPLY
         if self._up.serves(status):
-            outcome = Outcome.OK
-            headers = self._headers
-            if self._hop and not self._closes and self._hop != b"keep-alive":
-                # The endpoint may name further headers of this connection (RFC 9110, 7.6.1).
-                named = {part.strip() for part in self._hop.split(b",")}
-                headers = [h for h in headers if h[0] not in named]
-            reply = Reply(status, headers, b"".join(self._held) if self._held else b"")
+            outcome, reply = Outcome.OK, self._reply()
         elif status in (503, 504) and self._not_run:
             outcome = Outcome.FULL
         self._let_go()
@@ -276,6 +381,15 @@
             self.close()
         self._up.report(attempt, outcome, self._report, reply)
 
+    def _reply(self) -> Reply:
+        """The answer as far as it has come."""
+        headers = self._headers
+        if self._hop and not self._closes and self._hop != b"keep-alive":
+            # The endpoint may name further headers of this connection (RFC 9110, 7.6.1).
+            named = {part.strip() for part in self._hop.split(b",")}
+            headers = [h for h in headers if h[0] not in named]
+        return Reply(self._status, headers, b"".join(self._held) if self._held else b"")
+
     def _break(self) -> None:
         """The connection broke: whether the last byte was out decides."""
         self.stop(Outcome.RESET if self._written else Outcome.CONNECT_FAILED)
@@ -312,6 +426,77 @@
         return attempt
 
 
+class _Passed(Rest):
+    """The rest of an answer, as its connection gives it.
+
+    An endpoint that gives nothing for PASSED_S although its reader would take more has broken it off.  It could harm
+    one that thinks for longer in the middle of an answer.
+    """
+
+    def __init__(self, conn: Connection, came: int) -> None:
+        self._conn: Connection | None = conn
+        self._loop = conn.loop
+        self._came = came
+        self._broke = False   # before anybody took it
+        self._timer: asyncio.TimerHandle | None = None
+
+    def take(self, sink: Sink) -> None:
+        self.sink = sink
+        if self._broke:
+            self._loop.call_soon(self.over, False)
+
+    def _wait(self) -> None:
+        if self._timer:
+            self._timer.cancel()
+        self._timer = self._loop.call_later(PASSED_S, self._give_up)
+
+    def _give_up(self) -> None:
+        if self._conn:
+            self._conn.cut()
+
+    def pause(self) -> None:
+        if self._timer:
+            self._timer.cancel()
+            self._timer = None
+        if self._conn:
+            self._conn.pause_reading()
+
+    def resume(self) -> None:
+        if self._conn:
+            self._conn.resume_reading()
+            self._wait()
+
+    def stop(self) -> None:
+        conn, self.sink = self._conn, None
+        if conn:
+            self._leave()
+            conn.close()
+
+    def _leave(self) -> None:
+        if self._timer:
+            self._timer.cancel()
+            self._timer = None
+        self._conn = None
+
+    def feed(self, data: bytes) -> bool:
+        """More has come; False where it is more than any answer has."""
+        self._came += len(data)
+        if self._came > MOST_PASSED:
+            return False
+        if self._timer:
+            self._wait()
+        if self.sink:
+            self.sink.feed(data)
+        return True
+
+    def over(self, whole: bool) -> None:
+        sink, self.sink = self.sink, None
+        self._leave()
+        self._broke = not whole
+        if sink:
+            sink.end(whole)
+
+
 class Upstream:
     """All endpoints, and all connections to them."""
 
@@ -415,6 +600,16 @@
             left = max(0.0, attempt.expires_ms - self.clock.now()) / 1000
             attempt.timer = self.loop.call_later(left, self._expired, attempt)
             return
+        conn = attempt.conn
+        if conn and conn.coming:
+            # Its patience is for silence.  Another attempt would only ask for the same answer once more.
+            if conn.pass_early():
+                return
+            now = self.clock.now()
+            if attempt.coming_ms > now:
+                attempt.expires_ms = attempt.write_by_ms = attempt.coming_ms
+                attempt.timer = self.loop.call_later((attempt.coming_ms - now) / 1000, self._expired, attempt)
+                return
         # Unanswered, and nothing else heard from there since: its other connections may be just as dead.
         if attempt.host and attempt.host.heard_ms < attempt.sent_ms:
             self.close_idle(attempt.eid)
--- a/gateusher/upstream/interface.py
+++ b/gateusher/upstream/interface.py
@@ -8,7 +8,7 @@
 import asyncio
 from abc import ABC, abstractmethod
 from math import inf
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from ..policy.interface import Outcome
 from .states import ATTEMPT, MADE, SENT
@@ -27,17 +27,59 @@
     """What is to be sent: a whole request, in the terms of HTTP's semantics (RFC 9110) and of no version."""
 
     __slots__ = ("body", "headers", "method", "target")
+    takes_rest = False  # whoever asks can take an answer whose end is still to come
 
     def __init__(self, method: bytes, target: bytes, headers: Headers, body: bytes | bytearray) -> None:
         self.method, self.target, self.headers, self.body = method, target, headers, body
 
 
+class Sink(Protocol):
+    """Whoever takes the rest of an answer."""
+
+    def feed(self, data: bytes) -> None:
+        """More of the body."""
+
+    def end(self, whole: bool) -> None:
+        """Nothing more comes, once; where it isn't whole its reader must be able to tell."""
+
+
+class Rest(ABC):
+    """The part of an answer that is still to come.  Its connection makes it and ends it.
+
+    It is paused when it is handed over, so that nothing comes before somebody has taken it.
+    """
+
+    sink: Sink | None = None
+
+    @abstractmethod
+    def take(self, sink: Sink) -> None:
+        """Give all that comes to this one, from `resume` on."""
+
+    @abstractmethod
+    def pause(self) -> None:
+        """Take nothing more from the endpoint: its reader is slower."""
+
+    @abstractmethod
+    def resume(self) -> None:
+        """Go on."""
+
+    @abstractmethod
+    def stop(self) -> None:
+        """Nobody wants it any more; `end` isn't called."""
+
+
 class Reply(NamedTuple):
-    """A whole answer of an endpoint: the final status, the end-to-end headers as they came, the body."""
+    """An answer of an endpoint: the final status, the end-to-end headers as they came, the body.
+
+    The body is whole where there is no `rest`.  Where there is, `length` is that of the whole body in bytes, or -1
+    where the endpoint hasn't told it.
+    """
 
     status: int
     headers: Headers
     body: bytes
+    rest: Rest | None = None
+    length: int = -1
 
 
 LEAST_MS = 1.0  # an attempt with less time than this isn't written: X-Deadline counts in these
@@ -52,15 +94,18 @@
 
     `write_by_ms`, no later than that, bounds the writing: from then on no byte of it may be the last one.  What
     was decided at one instant is acted on at a later one, when a connection comes up or a peer reads again, and
-    whatever the decision rested on may have run out by then.
+    whatever the decision rested on may have run out by then.  `coming_ms` takes the place of `expires_ms` where the
+    answer is coming then: patience is for silence.
     """
 
-    __slots__ = ("conn", "eid", "expires_ms", "host", "message", "sent_ms", "state", "timer", "write_by_ms")
+    __slots__ = ("coming_ms", "conn", "eid", "expires_ms", "host", "message", "sent_ms", "state", "timer",
+                 "write_by_ms")
     to_any = False  # a probe, which may also go to an endpoint that takes no requests
 
     def __init__(self, message: Message, eid: int, sent_ms: float, expires_ms: float,
-                 write_by_ms: float = inf) -> None:
+                 write_by_ms: float = inf, coming_ms: float = 0.0) -> None:
         self.message, self.eid, self.sent_ms, self.expires_ms = message, eid, sent_ms, expires_ms
+        self.coming_ms = max(expires_ms, coming_ms)
         self.write_by_ms = min(write_by_ms, expires_ms)
         self.state: str = MADE                  # see core/states.py; the connections' own, as all below
         self.host: Host | None = None
--- a/gateusher/upstream/states.py
+++ b/gateusher/upstream/states.py
@@ -35,6 +35,7 @@
 WAITING: Final = "waiting"    # an attempt is on it, and no byte of a final answer has come
 BEGUN: Final = "begun"        # a head has begun
 HEADED: Final = "headed"      # a final head is whole, the body is coming
+PASSING: Final = "passing"    # too long to be held: it was handed on as far as it came, and the rest follows
 WHOLE: Final = "whole"        # the answer is whole, and nothing came behind it
 EXTRA: Final = "extra"        # the answer is whole, and more came behind it: it serves, and the connection ends
 SPOILT: Final = "spoilt"      # what came is no answer to this request, nor the beginning of one
@@ -45,6 +46,7 @@
 BEGIN: Final = "begin"        # by the parser: a message begins
 INTERIM: Final = "pass interim"  # by the parser: a 1xx is over, the real answer follows (RFC 9110, 15.2)
 HEAD: Final = "end head"      # by the parser: a final head is whole
+PASS: Final = "pass on"       # by the connection: the attempt ends here, the body doesn't
 END: Final = "end body"       # by the parser, or by the end of the stream where that delimits
 MORE: Final = "get more"      # by the parser: a message begins, or noise comes, behind a whole answer
 SPOIL: Final = "spoil"        # by the connection: it can't be read, or served
@@ -56,7 +58,8 @@
     QUIET: {CARRY: WAITING, CLOSE: CLOSED},
     WAITING: {BEGIN: BEGUN, SPOIL: SPOILT, CLOSE: CLOSED},
     BEGUN: {HEAD: HEADED, INTERIM: WAITING, SPOIL: SPOILT, CLOSE: CLOSED},
-    HEADED: {END: WHOLE, SPOIL: SPOILT, CLOSE: CLOSED},
+    HEADED: {END: WHOLE, PASS: PASSING, SPOIL: SPOILT, CLOSE: CLOSED},
+    PASSING: {END: WHOLE, SPOIL: SPOILT, CLOSE: CLOSED},
     WHOLE: {KEEP: QUIET, MORE: EXTRA, CLOSE: CLOSED},
     EXTRA: {CLOSE: CLOSED},
     SPOILT: {CLOSE: CLOSED},
