Bodies over 256 KiB go to their endpoint as they come, in bounded memory

Need: bodies reach 32 MiB, many at a time, in limits of 32 to 192 MB; held whole, one of 32 MiB was refused under a limit of 96 MB and less, and its client waited for two transfers, one after the other.

An endpoint begins with the last byte, so one that breaks off before it never ran and the request may be refused. Time counts from the last byte: the module hears Uploaded, the attempt's time begins then. Rejected: holding all (memory), a spool file (memory on the platform), taking the request's time from its first byte (a slow body would be late before it is whole).

Result, tests: 32 MiB in a limit of 16 MB, 24 bodies of 6 MiB at once in 24 MB with no more than 1.25 of the budget held.

--- a/gateusher/base/limits.py
+++ b/gateusher/base/limits.py
@@ -40,8 +40,9 @@
     def __init__(self, most: int, pool: Pool | None = None) -> None:
         self.most, self.held, self._pool = most, 0, pool
 
-    def take(self, n: int) -> bool:
-        if self.held + n > self.most or (self._pool and not self._pool.take(n)):
+    def take(self, n: int, beyond: bool = False) -> bool:
+        """Room for so many more; with `beyond` they are counted where there is none, since they are here already."""
+        if not beyond and self.held + n > self.most or (self._pool and not self._pool.take(n, beyond)):
             return False
         self.held += n
         return True
--- a/gateusher/core/engine.py
+++ b/gateusher/core/engine.py
@@ -18,7 +18,8 @@
 from ..base.log import say
 from ..policy import Balancer
 from ..policy.interface import (Action, AttemptEnded, Cancel, CloseIdle, Departed, Effect, Event, Fail, Outcome,
-                                Probe, Probed, Refuse, Request, Retuned, Send, SetTimer, Settings, TimerFired, Watch)
+                                Probe, Probed, Refuse, Request, Retuned, Send, SetTimer, Settings, TimerFired,
+                                Uploaded, Watch)
 from ..upstream.interface import LEAST_MS, NEVER_RAN, Attempt, Headers, Message, Reply
 from .states import ANSWERED, CONCLUDE, LEAVE, LEFT, MAKING, OPEN, REQUEST, REST, TAKE
 
@@ -27,6 +28,7 @@
 
 COME_BACK_MS = 250.0  # what a refusal advises where the module wishes nothing
 OVERDUE_MS = 10.0  # how long after its deadline a request that the module still holds is failed
+UPLOAD_MS = 3.6e6  # what the module is told that a body may still take; its listener bounds it by its rate
 PROBE_MS = 500.0   # how long a probe may take once its connection is up
 MOST_BODY = 65536  # bytes of a request's body, whichever face it comes through
 
@@ -64,7 +66,7 @@
     """One request of a client: from its last byte until it is answered and its attempts are over."""
 
     __slots__ = ("attempts", "client", "cls", "deadline", "key", "keyed", "last", "most", "name", "ran", "repeat",
-                 "rid", "served", "state", "tenant", "timer", "tries", "work_ms", "write_by")
+                 "patience_ms", "rid", "served", "state", "tenant", "timer", "tries", "work_ms", "write_by")
 
     def __init__(self, client: Asking, method: bytes, target: bytes, headers: Headers, body: bytes | bytearray,
                  cls: int = 0, name: bytes = b"") -> None:
@@ -73,7 +75,7 @@
         self.key = self.tenant = 0
         self.work_ms = 0.0
         self.keyed = self.repeat = False
-        self.rid, self.deadline = 0, 0.0
+        self.rid, self.deadline, self.patience_ms = 0, 0.0, 0.0
         self.tries = self.most = 0    # attempts made, and allowed
         self.state: str = MAKING      # see core/states.py; the engine alone moves it
         self.ran = False              # an attempt has ended that may have run
@@ -209,25 +211,40 @@
             return Fault.METHOD
         if call.keyed is not (effect is Effect.KEYED):
             return Fault.KEY
-        if call.body and call.method == b"GET":
+        if (call.body or call.upload) and call.method == b"GET":
             return Fault.BODY
         if not reserved and call.name in self._names:
             return Fault.CONFLICT
         call.move(TAKE)
         call.rid, self._next_id = self._next_id, self._next_id + 1
         now = self._clock.now()
-        call.deadline = min(now + patience_ms, self._latest)
+        call.patience_ms = patience_ms
+        upload = call.upload
+        call.deadline = min(now + patience_ms if upload is None else inf, self._latest)
         call.most = self._settings.max_attempts
         self.calls[call.rid] = call
         self._names.add(call.name)
         if len(self.calls) > self._most_held:
             self._conclude(call, Final(Ending.REFUSED, None, self.come_back(0.0)))
             return None
-        call.timer = self._call_later((call.deadline - now + OVERDUE_MS) / 1000, self._overdue, call)
-        self.deliver(Request(call.rid, call.cls, call.deadline - now, call.key, call.tenant, call.work_ms,
-                             call.repeat))
+        if call.deadline < inf:
+            call.timer = self._call_later((call.deadline - now + OVERDUE_MS) / 1000, self._overdue, call)
+        self.deliver(Request(call.rid, call.cls, min(patience_ms, call.deadline - now), call.key, call.tenant,
+                             call.work_ms, call.repeat, False, UPLOAD_MS if upload else 0.0))
         return None
 
+    def uploaded(self, call: Call) -> None:
+        """The last byte of a body that was still coming is there: the request's time begins (PROTOCOL, Figures)."""
+        assert call.upload
+        if call.state == OPEN:
+            now = self._clock.now()
+            call.deadline = min(now + call.patience_ms, self._latest)
+            if call.timer:
+                call.timer.cancel()
+            call.timer = self._call_later((call.deadline - now + OVERDUE_MS) / 1000, self._overdue, call)
+            self.deliver(Uploaded(call.rid))
+        call.upload.finish()
+
     def depart(self, call: Call) -> None:
         """The client has left: nothing is owed any more."""
         if call.state == OPEN:
@@ -252,8 +269,10 @@
         """The process ends then: what is open is failed a little before, and so is what comes later."""
         self._latest = latest_ms
         for call in list(self.calls.values()):
-            if call.timer and call.state == OPEN and call.deadline > latest_ms:
-                call.timer.cancel()
+            if call.state == OPEN and call.deadline > latest_ms:
+                if call.timer:
+                    call.timer.cancel()
+                call.deadline = latest_ms
                 left = (latest_ms - self._clock.now()) / 1000
                 call.timer = self._call_later(left, self._overdue, call)
 
@@ -315,6 +334,8 @@
             self._names.discard(call.name)
             self._memory.give(len(call.body))
             call.body = b""
+            if call.upload:
+                call.upload.release()
             call.client.settled(call)
 
     def _conclude(self, call: Call, final: Final) -> None:
@@ -344,9 +365,15 @@
             call.tries += 1
             expires = min(expires, call.deadline) if expires > 0 else call.deadline
             left = min(expires, call.write_by) - now
+            upload = call.upload
+            if upload and upload.gone:
+                left = 0.0  # what went through can't be sent again
             if call.state == OPEN and number < min(call.most, self._settings.max_attempts) and left >= LEAST_MS:
                 sent = call.attempts[number] = Sent(self, call, number, eid, now, expires,
                                                    min(coming, call.deadline))
+                if upload and not upload.done:
+                    sent.span_ms = min(left, call.patience_ms)
+                    sent.expires_ms = sent.write_by_ms = sent.coming_ms = inf
                 self.upstream.start(sent)
                 return
         self.deliver(AttemptEnded(rid, number, eid, 0.0, Outcome.NOT_SENT, call is None or call.state != OPEN))
--- a/gateusher/listeners/http.py
+++ b/gateusher/listeners/http.py
@@ -20,15 +20,19 @@
 from ..config.model import Names, key_of
 from ..core.engine import Call, Ending, Engine, Fault, Final
 from ..upstream.interface import HOP, Headers, Reply, Rest
+from ..upstream.upload import Upload
 from .phases import END, ENDING, HAND, RECLAIM, SEND_AWAY, SERVING, TAKE_BACK, Phases
 
 MOST_HEAD = 32768            # bytes of a request's header block
 MOST_BODY = 33 << 20         # bytes of a request's body
+MOST_WHOLE = 256 << 10       # one longer than that goes to its endpoint as it comes
 MOST_PATIENCE_MS = 3.6e6
 MOST_OPEN = 8                # requests open on one connection, where clients should send one at a time
 WHOLE_S = 2.2                # a head is whole so long after its first byte, the first one after connecting
 BODY_RATE = 32768            # bytes a second that a body grows by at least, WHOLE_S aside
 PAUSE_S = 1.5                # and how long it may stand still after that
+HELD_S = 6.0                 # how long nothing of it may be taken at the endpoint's side
+CROWDED_PART = 1.25          # of the memory for bodies: beyond that a body for which there is no room is refused
 SILENT_S = 2.0               # a connection that has never sent anything is closed
 IDLE_S = 2.0                 # and so is one that stands idle after its last answer
 CROWDED_S = 0.05             # or for so long, where too many do
@@ -76,7 +80,7 @@
 class _Asked(Call):
     """A request and its place in the order of its connection's answers."""
 
-    __slots__ = ("chunked", "keep", "old", "reply", "rest")
+    __slots__ = ("chunked", "keep", "old", "reply", "rest", "upload")
     takes_rest = True
     client: Client
 
@@ -88,6 +92,7 @@
         self.reply: bytes | None = None   # what is still to be written
         self.rest: Rest | None = None     # what is still to come behind that
         self.chunked = False              # how it is framed
+        self.upload: Upload | None = None  # a body that is still coming
 
     def feed(self, data: bytes) -> None:
         self.client.pass_on(self, data)
@@ -118,6 +123,8 @@
         self._fed = 0
         self._heard = self.at     # when something of an unfinished request last came
         self._received = 0        # bytes of its body
+        self._uploading: _Asked | None = None   # the request whose body goes on as it comes
+        self._held_at = 0.0       # since when nothing is read of it, as its endpoint is slower; 0 for not
         self._body = bytearray()
         self._fresh()
 
@@ -125,7 +132,7 @@
         self._url = b""
         self._headers: Headers = []
         self._known: dict[bytes, bytes] = {}
-        self._head_size = self._fault = 0
+        self._head_size = 0
 
     # -- the connection
 
@@ -136,6 +143,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
+        self._uploading = None
         del self._parser  # it holds this object too
         self._drop_body()
         self._server.lost(self)
@@ -184,7 +192,7 @@
         """
         if self._closing:
             return False
-        if self._in_message and not self._queue:
+        if self._in_message and not self._queue and not self._held_at:
             return now - self._heard > STUCK_S
         return self.idle and (self._used or now - self.at > NEW_S)
 
@@ -196,6 +204,10 @@
         elif self._deaf:
             if not self._queue and waited > LINGER_S:
                 self.close()
+        elif self._in_message and self._held_at:
+            if now - self._held_at > HELD_S:
+                self.go()
+                self.reject(503)  # no endpoint takes it, and none has begun it
         elif self._in_message:
             if now > self._whole_by and (now - self._heard > PAUSE_S or self._in_head
                                          or now > self._whole_by + self._received / BODY_RATE):
@@ -268,22 +280,69 @@
         self._received += len(data)
         if self._received > MOST_BODY:
             raise UnusableError(413)
-        if not self._fault:
-            if self._server.memory.take(len(data)):
-                self._body += data
-            else:
-                # No room: what comes is thrown away, and the request refused once all of it has come.
-                self._fault = 503
-                self._drop_body()
+        if self._uploading:
+            if self._uploading.upload:
+                self._uploading.upload.feed(data)
+            return
+        memory = self._server.memory
+        roomy = memory.take(len(data))
+        if not roomy:
+            # It goes through, and is here for a moment all the same; too many such moments are too much.
+            if memory.held > CROWDED_PART * memory.most:
+                raise UnusableError(503)
+            memory.take(len(data), beyond=True)
+        self._body += data
+        if not roomy or len(self._body) > MOST_WHOLE or memory.held > memory.most / 2:
+            self._begin_upload()
+
+    def _begin_upload(self) -> None:
+        """Too long to be held, or there is no room: it goes to an endpoint as it comes."""
+        body, self._body = self._body, bytearray()
+        server, known = self._server, self._known
+        patience = _plain(known.get(b"x-deadline"), 1000.0, MOST_PATIENCE_MS)
+        call = self._asked(b"")
+        total = int(known[b"content-length"]) if b"content-length" in known else -1
+        call.upload = Upload(self, body, total, patience or 0.0, server.memory)
+        self._uploading = call
+        self._queue.append(call)
+        status = self._submit(call)
+        if status:
+            call.upload.release()
+            self._queue.remove(call)
+            self._uploading = None
+            raise UnusableError(status if status >= 400 else 413)
+        call.upload.begun()
+
+    def hold(self) -> None:
+        """The endpoint takes no more of the body for now."""
+        if self._transport and not self._transport.is_closing():
+            self._held_at = self._server.loop.time()
+            self._transport.pause_reading()
+
+    def go(self) -> None:
+        if self._held_at:
+            now = self._server.loop.time()
+            self._whole_by += now - self._held_at  # its client had no part in that
+            self._heard, self._held_at = now, 0.0
+            if self._transport and not self._transport.is_closing():
+                self._transport.resume_reading()
+
+    def _asked(self, body: bytes | bytearray) -> _Asked:
+        """The request whose head has come."""
+        old = self._parser.get_http_version() != "1.1"
+        keep = bool(self._parser.should_keep_alive()) and not old
+        return _Asked(self, self._parser.get_method(), self._url, self._headers, body, keep, old)
 
     def on_message_complete(self) -> None:
         self._in_message = False
-        old = self._parser.get_http_version() != "1.1"
-        keep = bool(self._parser.should_keep_alive()) and not old
+        if self._uploading:
+            call, self._uploading = self._uploading, None
+            self._server.engine.uploaded(call)
+            return
         body, self._body = self._body, bytearray()
-        call = _Asked(self, self._parser.get_method(), self._url, self._headers, body, keep, old)
+        call = self._asked(body)
         self._queue.append(call)
-        status = self._fault or self._submit(call)
+        status = self._submit(call)
         if status:
             self._server.memory.give(len(body))
             self._answer(call, status)
@@ -334,6 +393,13 @@
             return
         self._deaf, self._in_message = True, False
         self._drop_body()
+        if self._uploading:
+            # It was never whole, so it was never taken: no endpoint begins it, and this is its answer.
+            call, self._uploading = self._uploading, None
+            self._server.engine.depart(call)
+            call.keep = False
+            self._answer(call, status)
+            return
         if self._queue and not self._queue[-1].keep:
             return  # behind a request that ends its connection nothing is answered any more (RFC 9112, 9.6)
         call = _Asked(self, b"", b"", [], b"", False)
@@ -345,6 +411,10 @@
     def conclude(self, call: Call, final: Final) -> None:
         assert isinstance(call, _Asked)
         reply = final.reply
+        if call is self._uploading:
+            # Before its last byte: what still comes of it is thrown away, and nothing else can follow it here.
+            self._uploading, self._deaf, self._in_message, call.keep = None, True, False, False
+            self.go()
         if reply is None:
             self._answer(call, STATUS[final.ending], final.retry_after_ms)
             return
--- a/gateusher/policy/brain.py
+++ b/gateusher/policy/brain.py
@@ -13,7 +13,7 @@
 
 from .interface import (Action, AttemptEnded, CloseIdle, Departed, Effect, Endpoint, Event, Fail,
                         ListKind, ListNews, Outcome, Probe, Probed, Refuse, Request, Retuned, Scope, Send,
-                        SetTimer, Settings, State, StreamBegan, TimerFired, Watch)
+                        SetTimer, Settings, State, StreamBegan, TimerFired, Uploaded, Watch)
 from .records import Lane, Server, Work, spread
 
 RAISE, LOWER = 0.1, 0.15         # a and b of the automaton
@@ -333,8 +333,9 @@
         if settings.late_worth <= 0:  # past the aim nothing is left to win, and failing late costs more
             aim = settings.aim_ms + settings.aim_stretch * request.work_ms
             last = min(last, now + aim - self.s.tick_ms)
-        work = self.work[request.request] = Work(request.request, request.cls, request.key, now, last)
-        work.most = self.s.max_attempts
+        work = self.work[request.request] = Work(request.request, request.cls, request.key, now,
+                                                 last + request.upload_ms)
+        work.most, work.span = self.s.max_attempts, last - now
         for cls in range(len(self.mix)):
             self.mix[cls] += ((cls == request.cls) - self.mix[cls]) * 0.02
         if not self._admit(work.cls):
@@ -454,6 +455,10 @@
         if work and not work.out:
             self._try(work)
 
+    def _uploaded(self, event: Uploaded) -> None:
+        if work := self.work.get(event.request):
+            work.began, work.give_up = self.now, self.now + work.span
+
     def _departed(self, event: Departed) -> None:
         work = self.work.get(event.request)
         if work:
@@ -598,4 +603,5 @@
 HANDLERS: dict[type, Callable[..., None]] = {
     ListNews: Balancer._news, Request: Balancer._request, AttemptEnded: Balancer._ended,
     TimerFired: Balancer._timer, Departed: Balancer._departed, StreamBegan: Balancer._began,
-    Probed: Balancer._probed, Retuned: Balancer._retuned}
+    Probed: Balancer._probed, Retuned: Balancer._retuned,
+    Uploaded: Balancer._uploaded}
--- a/gateusher/policy/interface.py
+++ b/gateusher/policy/interface.py
@@ -146,6 +146,7 @@
     work_ms: float = 0.0
     repeat: bool = False
     write: bool = False
+    upload_ms: float = 0.0   # its body may take so long yet; its patience counts from the last byte
 
 
 class AttemptEnded(NamedTuple):
@@ -169,6 +170,12 @@
     request: int
 
 
+class Uploaded(NamedTuple):
+    """The last byte of a request's body has come: its time begins."""
+
+    request: int
+
+
 class TimerFired(NamedTuple):
     token: int
 
@@ -193,7 +200,7 @@
     live: tuple[int, ...]                           # those that requests still come with
 
 
-Event = ListNews | Request | AttemptEnded | StreamBegan | Departed | TimerFired | Probed | Heard | Retuned
+Event = ListNews | Request | AttemptEnded | StreamBegan | Departed | TimerFired | Probed | Heard | Retuned | Uploaded
 
 
 class Send(NamedTuple):
--- a/gateusher/policy/records.py
+++ b/gateusher/policy/records.py
@@ -68,6 +68,7 @@
     home: Server | None = None    # where a keyed request may first have run, and when it was sent there
     home_at: float = 0.0
     most: int = 1                 # attempts that it may have
+    span: float = 0.0             # its time, from the last byte of its body on
 
 
 def spread(n: int) -> int:
--- a/gateusher/upstream/http.py
+++ b/gateusher/upstream/http.py
@@ -9,6 +9,7 @@
 import select
 import socket
 from collections.abc import Callable, Iterable
+from math import inf
 from typing import cast
 
 import httptools
@@ -31,6 +32,7 @@
 MOST_HEAD = 65536       # an answer's header block
 IDLE_PART = 0.8         # of the time after which an endpoint closes an idle connection
 ANSWER_S = 0.15         # an answer is whole so long after its first bytes, or moves
+TAKES_S = 5.0           # an endpoint that takes nothing of a long body for so long never will
 MOVES_MS = 5.0          # one whose bytes came no further apart than that came at once, and doesn't
 SETTLE_MS = 4.0         # how long a connection rests after an answer, before it carries another request
 
@@ -55,6 +57,7 @@
         self.born_ms = host.born_ms
         self.where = host.ip, host.port
         self._stall: asyncio.TimerHandle | None = None
+        self._slow: asyncio.TimerHandle | None = None   # until its endpoint must have taken something
         self._parser = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
         self.dial: asyncio.Task[None] | None = None
@@ -70,6 +73,7 @@
         self._headers: Headers = []
         self._hop = self._report = b""
         self._framed = self._not_run = self._keep = self._closes = self._early = self._long = self._chunked = False
+        self._chunks = self._all_given = False
         self._rest: _Passed | None = None
         self._held: list[bytes] = []
         self._size = 0
@@ -91,10 +95,23 @@
     def _write(self, transport: asyncio.Transport, attempt: Attempt) -> None:
         message = attempt.message
         # The deadline goes on as the time that is left of this attempt.
+        upload = message.upload
         left = max(0.0, attempt.expires_ms - self._up.clock.now()) / 1000
-        length = b"" if message.method == b"GET" else b"Content-Length: %d\r\n" % len(message.body)
+        if upload:
+            if not upload.done:
+                left = upload.patience_ms / 1000
+            self._chunks = upload.total < 0
+            length = b"Transfer-Encoding: chunked\r\n" if self._chunks else b"Content-Length: %d\r\n" % upload.total
+        else:
+            length = b"" if message.method == b"GET" else b"Content-Length: %d\r\n" % len(message.body)
         head = b"%b %b HTTP/1.1\r\n%b%bX-Deadline: %.3f\r\n\r\n" % (
             message.method, message.target, b"".join([b"%b: %b\r\n" % h for h in message.headers]), length, left)
+        if upload:
+            transport.write(head)
+            if not transport.is_closing():
+                attempt.move(PART)  # whatever the kernel has taken, the last byte is not there yet
+                upload.attach(self)
+            return
         transport.write(head + message.body)
         # With a high-water mark of 0 the transport calls pause_writing whenever it holds anything back.
         if not transport.is_closing():
@@ -111,13 +128,49 @@
         return (attempt.write_by_ms - self._up.clock.now() < LEAST_MS or not (host.ready or attempt.to_any)
                 or host.born_ms != self.born_ms or (host.ip, host.port) != self.where)
 
+    # -- a body that is still coming
+
+    def more(self, data: bytes) -> None:
+        transport = self._transport
+        if transport and self.attempt and not transport.is_closing():
+            transport.writelines([b"%x\r\n" % len(data), data, b"\r\n"] if self._chunks else [data])
+
+    def finish(self) -> None:
+        transport, attempt = self._transport, self.attempt
+        if transport and attempt and not transport.is_closing():
+            if self._chunks:
+                transport.write(b"0\r\n\r\n")
+            self._all_given = True
+            if not self._blocked:
+                self._all_written(attempt)
+
+    def _all_written(self, attempt: Attempt) -> None:
+        attempt.move(ALL)
+        if attempt.span_ms:
+            self._up.uploaded(attempt)
+
+    def _takes_nothing(self) -> None:
+        if self.attempt and not self.attempt.written:
+            self.stop(Outcome.CONNECT_FAILED)
+
     def pause_writing(self) -> None:
         self._blocked = True
+        if self.attempt and (upload := self.attempt.message.upload):
+            upload.hold()
+            if self._slow is None:
+                self._slow = self._up.loop.call_later(TAKES_S, self._takes_nothing)
 
     def resume_writing(self) -> None:
         self._blocked = False
+        if self._slow:
+            self._slow.cancel()
+            self._slow = None
         if self.attempt and self.attempt.state == PARTLY:
-            self.attempt.move(ALL)
+            upload = self.attempt.message.upload
+            if upload is None or self._all_given:
+                self._all_written(self.attempt)
+            else:
+                upload.go()
 
     # -- the connection
 
@@ -418,6 +471,11 @@
         attempt = self.attempt
         assert attempt
         self.attempt = attempt.conn = None
+        if attempt.message.upload:
+            attempt.message.upload.detach()
+        if self._slow:
+            self._slow.cancel()
+            self._slow = None
         if self._stall:
             self._stall.cancel()
             self._stall = None
@@ -552,10 +610,17 @@
         if conn is None:
             self.report(attempt, Outcome.NOT_SENT, b"")
             return
-        left = (attempt.write_by_ms - attempt.sent_ms) / 1000
-        attempt.timer = self.loop.call_later(left, self._expired, attempt)
+        if attempt.write_by_ms < inf:
+            left = (attempt.write_by_ms - attempt.sent_ms) / 1000
+            attempt.timer = self.loop.call_later(left, self._expired, attempt)
         conn.carry(attempt)
 
+    def uploaded(self, attempt: Attempt) -> None:
+        """The last byte of a long body is out: the attempt's time begins."""
+        now = attempt.sent_ms = self.clock.now()
+        attempt.expires_ms = attempt.write_by_ms = attempt.coming_ms = now + attempt.span_ms
+        attempt.timer = self.loop.call_later(attempt.span_ms / 1000, self._expired, attempt)
+
     def _connection(self, host: Host) -> Connection | None:
         """The idle connection that was used last, or a new one; None where there is no descriptor left.
 
--- a/gateusher/upstream/interface.py
+++ b/gateusher/upstream/interface.py
@@ -15,6 +15,7 @@
 
 if TYPE_CHECKING:
     from .http import Connection, Host
+    from .upload import Upload
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -27,6 +28,7 @@
     """What is to be sent: a whole request, in the terms of HTTP's semantics (RFC 9110) and of no version."""
 
     __slots__ = ("body", "headers", "method", "target")
+    upload: Upload | None = None  # what is still to come of the body, which is empty then
     takes_rest = False  # whoever asks can take an answer whose end is still to come
 
     def __init__(self, method: bytes, target: bytes, headers: Headers, body: bytes | bytearray) -> None:
@@ -98,14 +100,15 @@
     answer is coming then: patience is for silence.
     """
 
-    __slots__ = ("coming_ms", "conn", "eid", "expires_ms", "host", "message", "sent_ms", "state", "timer",
-                 "write_by_ms")
+    __slots__ = ("coming_ms", "conn", "eid", "expires_ms", "host", "message", "sent_ms", "span_ms", "state",
+                 "timer", "write_by_ms")
     to_any = False  # a probe, which may also go to an endpoint that takes no requests
 
     def __init__(self, message: Message, eid: int, sent_ms: float, expires_ms: float,
                  write_by_ms: float = inf, coming_ms: float = 0.0) -> None:
         self.message, self.eid, self.sent_ms, self.expires_ms = message, eid, sent_ms, expires_ms
         self.coming_ms = max(expires_ms, coming_ms)
+        self.span_ms = 0.0                      # where its body is still coming: its time from the last byte on
         self.write_by_ms = min(write_by_ms, expires_ms)
         self.state: str = MADE                  # see core/states.py; the connections' own, as all below
         self.host: Host | None = None
