--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 
 bench: .venv/made
 	.venv/bin/python -m bench.library
+	.venv/bin/python -m bench.daemon
 
 check: .venv/made
 	.venv/bin/python -m checker check
--- a/gateusher/listeners/phases.py
+++ b/gateusher/listeners/phases.py
@@ -61,8 +61,8 @@
         if event in (HAND, RECLAIM):
             self.handed = event == HAND
         if after != self.phase:
-            if after != ENDING or not self.handed:
-                self._told = now  # on the way out after a handover, those who are left have known since that
+            if after != ENDING:
+                self._told = now  # who is left on the way out has known since before
             self.phase, self._since = after, now
         return True
 
--- a/gateusher/upstream/upload.py
+++ b/gateusher/upstream/upload.py
@@ -46,7 +46,6 @@
         self.total, self.patience_ms = total, patience_ms
         self.done = False         # its last byte has come
         self.gone = False         # bytes went through that are not here any more: it can't be sent again
-        self.sent = False         # its last byte is with a taker, whose socket has it
         self._giver, self._memory = giver, memory
         self._kept = kept
         self._taker: Taker | None = None
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -10,7 +10,8 @@
 from gateusher.daemon import Sidecar
 from gateusher.listeners import admin as admin_module
 from gateusher.listeners import phases as phases_module
-from gateusher.listeners.phases import END, ENDING, LAME, SEND_AWAY, SERVING, TAKE_BACK, Phases
+from gateusher.listeners.phases import (END, ENDING, HAND, LAME, RECLAIM, SEND_AWAY, SERVING, TAKE_BACK,
+                                        Phases)
 
 from .helpers import HANG_S
 from .net import OK, Endpoint, Reader, Rig, Writer, configuration, look, read_message, rig
@@ -164,6 +165,31 @@
         assert phases.since(now) == now - began
 
 
+@pytest.mark.parametrize(("how", "alone"), [((SEND_AWAY,), 1.4), ((HAND,), 2.4), ((HAND, END), 2.4)])
+def test_who_may_stay_idle_and_for_how_long(how: tuple[str, ...], alone: float) -> None:
+    """Left alone for a while after the first word, whatever comes later; then those alone that have just come."""
+    phases = Phases()
+    for n, event in enumerate(how):
+        assert phases.move(event, 100.0 + n)
+    for after, at, used, stays in ((alone - 0.01, 0.0, True, True), (alone + 0.01, 0.0, True, False),
+                                   (alone + 0.01, 0.0, False, False), (alone + 0.01, 100.0 + alone, False, True),
+                                   (alone + 0.01, 100.0 + alone, True, False),
+                                   (alone + 0.4, 100.0 + alone, False, False)):
+        assert phases.spares_idle(100.0 + after, at, used) is stays, (after, at, used)
+
+
+def test_health_is_the_successor_s_to_say() -> None:
+    phases = Phases()
+    seen = []
+    for event in (HAND, RECLAIM, SEND_AWAY, HAND, END):
+        assert phases.move(event, 1.0)
+        seen.append((phases.healthy, phases.away))
+    assert seen == [(True, True), (True, False), (False, True), (True, True), (True, True)]
+    phases = Phases()
+    assert phases.move(END, 1.0) and not phases.healthy
+    assert not phases.move(HAND, 2.0) and not phases.move(RECLAIM, 2.0)
+
+
 def test_the_second_address_comes_from_file_or_environment() -> None:
     conf = configuration([], 1)
     assert platform.parse(conf, {}).admin is None
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -50,6 +50,8 @@
         assert table.former == {n: s for n, s in before.items() if table.current.get(n) != s}
         assert sorted(change.live) == sorted(table.current.values())
         assert len(set(change.live)) == len(config)
+        same = {k.name for k in kinds(config) if k.name in before and was[before[k.name]] == k}
+        assert all(table.current[name] == before[name] for name in same), "what hasn't changed stays where it is"
         changed = {slot for slot, _ in change.fresh}
         assert all(change.kinds[i] == was[i] for i in range(len(was)) if i not in changed)
         assert all(heir == before.get(change.kinds[slot].name) for slot, heir in change.fresh)
--- /dev/null
+++ b/tests/test_upload.py
@@ -0,0 +1,109 @@
+"""A body that is still coming, over any order of what its giver, its takers and the room for it do."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gateusher.base.limits import Bytes
+from gateusher.upstream import upload as upload_module
+from gateusher.upstream.upload import KEPT, Upload
+
+ROOM = 4 * KEPT
+DATA = bytes(range(256)) * (KEPT // 64)   # four times what is kept
+
+
+class Client:
+    """Gives nothing while it is held."""
+
+    def __init__(self) -> None:
+        self.held = False
+
+    def hold(self) -> None:
+        assert not self.held
+        self.held = True
+
+    def go(self) -> None:
+        assert self.held
+        self.held = False
+
+
+class Node:
+    """One attempt: what it got, and whether that was all."""
+
+    def __init__(self) -> None:
+        self.got, self.whole = bytearray(), False
+
+    def more(self, data: bytes) -> None:
+        assert not self.whole
+        self.got += data
+
+    def finish(self) -> None:
+        assert not self.whole
+        self.whole = True
+
+
+STEPS = st.lists(st.one_of(
+    st.tuples(st.just("feed"), st.integers(1, KEPT)), st.tuples(st.just("feed"), st.just(KEPT // 2)),
+    st.tuples(st.just("attach"), st.just(0)),
+    st.tuples(st.just("detach"), st.just(0)), st.tuples(st.just("full"), st.just(0)),
+    st.tuples(st.just("room"), st.just(0)), st.tuples(st.just("others"), st.integers(0, ROOM)),
+    st.tuples(st.just("finish"), st.just(0))), max_size=40)
+
+
+@settings(max_examples=400, deadline=None)
+@given(STEPS, st.integers(0, 70000))
+def test_every_taker_gets_all_of_it_from_the_first_byte_on(steps: list[tuple[str, int]], begun: int) -> None:
+    client, memory = Client(), Bytes(ROOM)
+    memory.take(begun)
+    upload = Upload(client, bytearray(DATA[:begun]), -1, 1000.0, memory)
+    given_, taker, others = begun, None, 0
+    for step, n in steps:
+        if step == "feed" and not client.held and not upload.done and given_ + n <= len(DATA):
+            upload.feed(DATA[given_:given_ + n])
+            given_ += n
+        elif step == "attach" and taker is None and not upload.gone:
+            taker = Node()
+            upload.attach(taker)
+            assert not client.held or upload.done
+        elif step == "detach" and taker:
+            upload.detach()
+            taker = None
+            assert not (upload.gone and client.held), "its client never gets to read why"
+        elif step == "full" and taker:
+            upload.hold()
+        elif step == "room" and taker:
+            upload.go()
+            assert not client.held
+        elif step == "others":   # bodies and answers of other requests
+            memory.give(others)
+            others = min(n, max(0, ROOM - memory.held))
+            memory.take(others)
+        elif step == "finish" and not client.held and not upload.done:
+            upload.finish()
+        if taker:
+            assert taker.got == DATA[:given_] and taker.whole is upload.done
+        kept = memory.held - others
+        # A piece more than is kept at most, where there was nobody to give it to.
+        assert kept <= (2 * KEPT if taker is None else KEPT)
+        assert kept == (0 if upload.gone else given_)
+        if not upload.gone and taker is None and given_ > KEPT:
+            assert client.held or upload.done
+        assert not (upload.done and client.held)
+    upload.release()
+    assert memory.held == others and upload.gone
+
+
+def test_where_room_is_scarce_nothing_more_is_taken_before_there_is_a_taker() -> None:
+    client, memory = Client(), Bytes(1000)
+    memory.take(400)
+    upload = Upload(client, bytearray(100), 5000, 1000.0, memory)
+    upload.begun()
+    assert not client.held
+    memory.take(200)
+    upload.begun()
+    assert client.held
+    taker = Node()
+    upload.attach(taker)
+    assert not client.held and len(taker.got) == 100
+    upload.feed(bytes(10))
+    assert upload.gone and len(taker.got) == 110   # what has gone through is not kept where others need the room
+    assert upload_module.KEPT == 1 << 20
