--- a/checker/__main__.py
+++ b/checker/__main__.py
@@ -1,4 +1,4 @@
-"""`python -m checker check|explore|replay|mutants|show|cover`: see docs/checker.md."""
+"""`python -m checker check|orders|explore|replay|mutants|show|cover`: see docs/checker.md."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 from typing import Any
 
 from . import mutate
-from .hunt import MUTANT_WALKS, covered, in_turn, jobs, lines_reached, try_mutant
+from .hunt import FACES, MUTANT_WALKS, covered, every_order, in_turn, jobs, lines_reached, try_mutant
 from .hunt import hunt as hunt_all
 from .verdicts import ORDER, keep, known, sample
 
@@ -37,7 +37,7 @@
     by, seed = time.monotonic() + args.minutes * 60, args.seed
     total = Counter[str]()
     while time.monotonic() < by:
-        found = hunt_all(jobs(args.walks, seed, every_order=False), args.workers)
+        found = hunt_all(jobs(args.walks, seed), args.workers)
         total.update({k: found[k] for k in ("transitions", "executions")})
         if "story" in found:
             say(found)
@@ -53,21 +53,44 @@
 
 
 def check(args: argparse.Namespace) -> int:
-    found = hunt_all(jobs(), args.workers)
-    if "story" in found:
-        say(found)
-        return 1
-    print(f"{found['states']} states, {found['transitions']} transitions, {found['executions']} executions in "
-          f"{found['seconds']:.0f} s, nothing broken")
+    """Every order to a depth, then walks."""
     from .tables import unreached  # noqa: PLC0415
 
-    missing = unreached({tuple(m) for m in found["moves"]})
+    moves, states, seconds = set[tuple[str, ...]](), 0, 0.0
+    for found in every_order(args.workers):
+        print(found, flush=True)
+        moves |= found.moves
+        states, seconds = states + found.states, seconds + found.seconds
+        if found.broken:
+            say(found.told())
+            return 1
+    print(f"every order: {states} states in {seconds:.0f} s, nothing broken", flush=True)
+    walked = hunt_all(jobs(), args.workers)
+    if "story" in walked:
+        say(walked)
+        return 1
+    print(f"walks: {walked['transitions']} transitions, {walked['executions']} executions in "
+          f"{walked['seconds']:.0f} s, nothing broken")
+    missing = unreached(moves | {tuple(m) for m in walked["moves"]})
     print("moves of the tables not reached: " + ("none" if not missing else ""))
     for table, state, event in missing:
         print(f"  {table}: {event!r} while {state!r}")
     return 0
 
 
+def orders(args: argparse.Namespace) -> int:
+    """Every order of one case, to a depth, until nothing is left, or until the time is over."""
+    from .levels import Case, search  # noqa: PLC0415
+
+    case = Case(args.face, tuple(args.effects.split("+")))
+    found = search(case, args.depth, args.workers, seconds=args.minutes * 60,
+                   tell=lambda so_far: print(so_far, flush=True))
+    print(f"states by depth: {found.levels}; {found.executions} executions")
+    if found.broken:
+        say(found.told())
+    return 1 if found.broken else 0
+
+
 def replay(args: argparse.Namespace) -> int:
     from .explore import play  # noqa: PLC0415
     from .hunt import SETTINGS  # noqa: PLC0415
@@ -183,6 +206,13 @@
     going.add_argument("--seed", type=int, default=10**6)
     going.add_argument("--walks", type=int, default=500, help="of each kind, between two looks at the clock")
     going.set_defaults(run=explore)
+    ways = commands.add_parser("orders", help="every order of the events of one case, breadth first")
+    ways.add_argument("--face", choices=FACES, default="daemon")
+    ways.add_argument("--effects", default="unsafe", metavar="E[+E]", help="of its requests, as they come")
+    ways.add_argument("--depth", type=int, default=10**9)
+    ways.add_argument("--minutes", type=float, default=1.0)
+    ways.add_argument("--workers", type=int, default=2)
+    ways.set_defaults(run=orders)
     again = commands.add_parser("replay", help="play a counterexample's file again")
     again.add_argument("file")
     again.set_defaults(run=replay)
--- a/checker/chooser.py
+++ b/checker/chooser.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Sequence
+from itertools import combinations
 from random import Random
+from typing import TypeVar
+
+S = TypeVar("S")
 
 
 class Chooser:
@@ -32,6 +37,12 @@
 class Ordered(Chooser):
     """One of every order, in turn."""
 
+    def begin(self, prefix: list[int]) -> None:
+        """Another one."""
+        self.prefix, self.resting = prefix, False
+        self.made.clear()
+        self.words.clear()
+
 
 class Walk(Chooser):
     """Goes a way of its own, the same for the same seed."""
@@ -57,11 +68,32 @@
         return 0
 
 
-class Coins:
-    """The policy's random numbers: low or high where a member is drawn, the middle elsewhere."""
+class Draws:
+    """What the policy's draw gives: any set that its probabilities allow, whatever the coins would have said.
+
+    Coins would come to the same few sets by many more ways, and only to those that their two values reach.
+    """
 
     def __init__(self, choose: Chooser) -> None:
         self._choose = choose
-
-    def draw(self) -> float:
-        return (0.02, 0.98)[self._choose("the draw is low", "the draw is high")]
+        self._empty = False    # the last draw of this event gave nobody
+
+    def begin(self) -> None:
+        """The module takes another event."""
+        self._empty = False
+
+    def draw(self, levels: Sequence[Sequence[S]], name: Callable[[S], str], chance: Callable[[S], float]) -> list[S]:
+        """The members of all levels that are drawn, all of them by the first choice."""
+        if self._empty:   # the module draws again after an empty draw, which comes to what the first might have
+            self._empty = False
+            return []
+        members = [s for level in levels for s in level if chance(s) > 0.0]
+        unsure = [s for s in members if chance(s) < 1.0]
+        if not unsure:
+            return members
+        sets = [[s for s in members if s not in out]
+                for n in range(len(unsure) + 1) for out in combinations(unsure, n)]
+        drawn = sets[self._choose(*("the draw gives " + (" and ".join(sorted(map(name, s))) or "nobody")
+                                    for s in sets))]
+        self._empty = not drawn
+        return drawn
--- a/checker/hunt.py
+++ b/checker/hunt.py
@@ -15,8 +15,9 @@
 from . import mutate
 
 FACES = ("library", "daemon")
-# Every order of the events of the plain kind: effects in the order of their coming, and a bound on steps.
-EVERY_ORDER = ((("unsafe",), 4), (("keyed",), 4), (("safe",), 4), (("unsafe", "safe"), 3))
+# Every order of the events of the plain kind: face, effects in the order of their coming, and a bound on events.
+EVERY_ORDER = (("daemon", ("unsafe",), 6), ("daemon", ("keyed",), 5), ("library", ("unsafe",), 5),
+               ("library", ("unsafe", "safe"), 4))
 # Walks by fixed seeds through everything that can be chosen: effects, steps.
 WALKS = ((("unsafe",), 16), (("keyed",), 24), (("unsafe", "safe"), 30), (("unsafe", "keyed", "safe"), 45))
 # The worlds of the walks, by the words of `world.Setting`.
@@ -34,22 +35,21 @@
 
 
 class Job(NamedTuple):
-    """A part of an exploration: every order to a depth, or walks by the seeds from `first` on."""
+    """So many walks to a depth, by the seeds from `first` on."""
 
     face: str
     effects: tuple[str, ...]
     depth: int
-    walks: int = 0
+    walks: int
     first: int = 0
     setting: str = "plain"
 
 
-def jobs(walks: int = WALKS_EACH, first: int = 0, every_order: bool = True) -> list[Job]:
-    found = [Job(f, e, d) for e, d in EVERY_ORDER for f in FACES] if every_order else []
+def jobs(walks: int = WALKS_EACH, first: int = 0) -> list[Job]:
     # Of a long world's walks few come to the middle of an answer.
     many = {s: walks * LONG_TIMES if SETTINGS[s].get("long") else walks for s in SETTINGS}
-    return found + [Job(f, e, d, many[s], first, s) for s in SETTINGS for e, d in WALKS for f in FACES
-                    if f == "daemon" or not {"long", "operated"} & SETTINGS[s].keys()]  # no library has these
+    return [Job(f, e, d, many[s], first, s) for s in SETTINGS for e, d in WALKS for f in FACES
+            if f == "daemon" or not {"long", "operated"} & SETTINGS[s].keys()]  # no library has these
 
 
 def play(job: Job, short: bool = True) -> dict[str, Any]:
@@ -58,9 +58,8 @@
     from .world import Setting  # noqa: PLC0415
 
     setting = Setting(**SETTINGS[job.setting])
-    explorer = Explorer(job.face, job.effects, job.depth, setting=setting)
-    report = explorer.walk(job.walks, job.first) if job.walks else explorer.run()
-    found = {"states": report.states, "transitions": report.transitions, "executions": report.executions,
+    report = Explorer(job.face, job.effects, job.depth, setting=setting).walk(job.walks, job.first)
+    found = {"transitions": report.transitions, "executions": report.executions,
              "moves": sorted(report.moves)}
     if report.failure:
         if short:
@@ -73,7 +72,7 @@
 def hunt(todo: Iterable[Job], workers: int = 1, short: bool = True) -> dict[str, Any]:
     """Play all of them; the failure of the first job that has one, or the counts.  The same for any `workers`."""
     began = time.monotonic()
-    total: dict[str, Any] = {"states": 0, "transitions": 0, "executions": 0}
+    total: dict[str, Any] = {"transitions": 0, "executions": 0}
     moves: set[tuple[str, ...]] = set()
     pool = multiprocessing.get_context("fork").Pool(workers) if workers > 1 else None
     try:
@@ -90,6 +89,21 @@
     return {**total, "moves": sorted(moves), "seconds": time.monotonic() - began}
 
 
+def every_order(workers: int = 1, cases: Iterable[tuple[str, tuple[str, ...], int]] = EVERY_ORDER) -> Iterator[Any]:
+    """Each case with what it came to (a `levels.Found`), up to the first that breaks something, shortened."""
+    from .explore import shorten  # noqa: PLC0415 - as above
+    from .levels import Case, search  # noqa: PLC0415
+
+    for face, effects, depth in cases:
+        found = search(Case(face, effects), depth, workers)
+        if found.broken and not found.differs:
+            report = shorten(face, effects, found.story)
+            found.story, found.broken = report.story, report.failure
+        yield found
+        if found.broken:
+            return
+
+
 # -- mutants, each in a process of its own
 
 
@@ -97,7 +111,7 @@
     """Plant it and hunt it, in this process: `story`, or `crash`, where it is killed."""
     mutate.plant(name)
     try:
-        found = hunt(jobs(walks, every_order=False), short=short)
+        found = hunt(jobs(walks), short=short)
     except Exception as error:
         return {"crash": f"{type(error).__name__}: {error}"[:200]}
     kept = ("face", "effects", "setting", "story", "broken", "executions")
@@ -155,5 +169,5 @@
 
 def lines_reached(walks: int = MUTANT_WALKS) -> dict[str, list[int]]:
     """The lines of each target that a hunt without a fault runs: no change elsewhere can show in it."""
-    data = covered(jobs(walks, every_order=False)).get_data()
+    data = covered(jobs(walks)).get_data()
     return {m: sorted(data.lines(str(mutate.path_of(m))) or ()) for m in mutate.TARGETS}
--- a/checker/world.py
+++ b/checker/world.py
@@ -30,11 +30,11 @@
 from gateusher.policy.brain import Balancer
 from gateusher.policy.interface import AttemptEnded, Send
 from gateusher.upstream import http as upstream_module
-from gateusher.upstream.http import Upstream
+from gateusher.upstream.http import Connection, Upstream
 
 from . import properties
 from .answers import CALM, EARLY, EARLY_LAST, ERROR, NOISE, NOT_RUN, OK, SORTS, Made, make
-from .chooser import Chooser, Coins
+from .chooser import Chooser, Draws
 from .loop import Dial, Select, Sockets, Transport, VirtualLoop
 from .story import Ask, Sent, Story
 
@@ -232,6 +232,8 @@
         self.engine: Engine = self.node.engine
         self.upstream: Upstream = self.node.upstream
         self.balancer: Balancer = self.engine._balancer
+        self.conns: list[Connection] = []        # all that were ever dialled, in their order
+        self._watch_dials()
         self._watch_module()
 
     def close(self) -> None:
@@ -244,25 +246,33 @@
 
     # -- eyes
 
+    def _watch_dials(self) -> None:
+        connection = self.upstream._connection
+
+        def dialled(host: Any) -> Connection | None:
+            conn = connection(host)
+            if conn and conn not in self.conns:
+                self.conns.append(conn)
+            return conn
+
+        self.upstream._connection = dialled  # type: ignore[method-assign]
+
     def _watch_module(self) -> None:
         balancer = self.balancer
-        coins = Coins(self.choose)
-        drawing = [False]
+        draws = Draws(self.choose)
         # Near 1 a cold node's first credit is almost there; under 0.2 each send is followed by a probe.
         elsewhere = 1 - 1e-9 if self.setting.cold else 0.15 if self.setting.probes else 0.5
-        balancer.rnd = lambda: coins.draw() if drawing[0] else elsewhere
-        draw, handle, story = balancer._draw, balancer.handle, self.story
+        balancer.rnd = lambda: elsewhere
+        handle, story, hosts = balancer.handle, self.story, self.upstream._hosts
 
         def drawn() -> Any:
-            drawing[0] = True
-            try:
-                return draw()
-            finally:
-                drawing[0] = False
+            return draws.draw(balancer.levels, lambda s: hosts[s.eid].name if s.eid in hosts else "one that is gone",
+                              lambda s: s.c)
 
         tries: dict[int, int] = {}
 
         def handled(now: float, event: Any) -> Any:
+            draws.begin()
             if type(event) is AttemptEnded:
                 key = (event.request, event.attempt)
                 if key not in story.sends:
--- a/tests/checker/test_explore.py
+++ b/tests/checker/test_explore.py
@@ -17,18 +17,15 @@
 ROOT = Path(__file__).parents[2]
 
 
-def test_nothing_is_broken_and_every_move_of_the_tables_is_made() -> None:
+def test_walks_break_nothing_and_make_every_move_of_the_tables() -> None:
     found = hunt(jobs(), workers=2)
     assert "story" not in found, "\n".join([*found.get("story", ()), *found.get("broken", ())])
-    assert found["states"] > 600 and found["executions"] > 50_000
+    assert found["executions"] > 20_000
     assert unreached({tuple(move) for move in found["moves"]}) == []
 
 
 @pytest.mark.parametrize("setting", [Setting(), Setting("zone", True, True, True, True)], ids=["plain", "all"])
-def test_the_same_is_explored_each_time(setting: Setting) -> None:
-    first, second = (Explorer("daemon", ("unsafe",), 4).run(500) for _ in range(2))
-    assert (first.states, first.transitions, first.executions) == (
-        second.states, second.transitions, second.executions)
+def test_the_same_is_walked_each_time(setting: Setting) -> None:
     walks = [Explorer("daemon", ("unsafe", "safe"), 20, setting=setting).walk(100) for _ in range(2)]
     assert walks[0].transitions == walks[1].transitions and not walks[0].failure
 
--- /dev/null
+++ b/tests/checker/test_levels.py
@@ -0,0 +1,106 @@
+"""Every order of events, breadth first: the same counts each time, nothing forgotten by the form, faults found."""
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from checker import levels, state
+from checker.chooser import Draws, Ordered, Script
+from checker.explore import play
+from checker.hunt import every_order
+from checker.levels import Case, Found, expand, search
+from checker.world import World
+from gateusher.core.engine import Engine
+from gateusher.upstream.http import Connection
+
+ROOT = Path(__file__).parents[2]
+SMALL = (("daemon", ("unsafe",), 4), ("library", ("keyed",), 3), ("library", ("unsafe", "safe"), 3))
+
+
+def test_every_order_to_a_depth_breaks_nothing() -> None:
+    found = list(every_order(2))
+    assert [f.broken for f in found] == [[]] * len(found)
+    assert sum(f.states for f in found) > 30_000 and sum(f.audited for f in found) > 300
+
+
+def test_one_process_or_several_and_any_hash_seed_count_the_same() -> None:
+    script = ("from checker.hunt import every_order\nfrom tests.checker.test_levels import SMALL\n"
+              "print([(f.levels, f.transitions, f.executions) for f in every_order(1, SMALL)])")
+    done = subprocess.run([sys.executable, "-c", script], cwd=ROOT, capture_output=True, text=True, check=True,
+                          env={**os.environ, "PYTHONHASHSEED": "7"})
+    assert done.stdout.strip() == str([(f.levels, f.transitions, f.executions) for f in every_order(3, SMALL)])
+
+
+@pytest.mark.parametrize("case", [Case("daemon", ("unsafe", "keyed")), Case("library", ("keyed",))], ids=str)
+def test_a_world_that_is_put_back_goes_on_as_a_new_one(case: Case, monkeypatch: pytest.MonkeyPatch) -> None:
+    ways = _ways(case, 4)
+    ours = expand(case, ways)
+
+    class New:
+        """A new world each time."""
+
+        def __init__(self, world: World) -> None:
+            self._world = world
+
+        def begin(self) -> None:
+            self._world.close()
+            self._world.__init__(self._world.choose, case.face, case.effects, 2, False)  # type: ignore[misc]
+
+    monkeypatch.setattr(levels, "Again", New)
+    assert expand(case, ways) == ours and not ours.broken
+
+
+# Most of what decides shows in several parts of a form, so that one part alone is often not missed.
+@pytest.mark.parametrize("forgotten", [{9}, {1, 3}, {5, 6}, {0, 1, 4}], ids=[
+    "timers", "what the module knows", "connections", "requests"])
+def test_a_form_that_forgets_something_is_found_out(forgotten: set[int], monkeypatch: pytest.MonkeyPatch) -> None:
+    form = state._form
+    monkeypatch.setattr(state, "_form", lambda world: tuple(
+        part for at, part in enumerate(form(world)) if at not in forgotten))
+    monkeypatch.setattr(levels, "AUDITED", 1)
+    found = search(Case("daemon", ("unsafe",)), 3)
+    assert found.differs and "go on differently" in found.broken[0]
+
+
+def test_what_is_written_after_its_answer_is_found_by_the_shortest_way(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A dial that was overtaken carries its request all the same, and a deadline gives up nothing."""
+    monkeypatch.setattr(Engine, "_abandon", lambda self, call: self._release(call))
+    monkeypatch.setattr(Connection, "_overtaken", lambda self, attempt: False)
+    found: Found = next(every_order(1, [("daemon", ("unsafe",), 5)]))
+    assert any("is sent while it is" in line for line in found.broken) and not found.closed
+    assert play("daemon", ("unsafe",), *found.story) == found.broken
+    monkeypatch.undo()
+    with pytest.raises(AssertionError, match="can't happen here"):
+        play("daemon", ("unsafe",), *found.story)   # its dial is given up, so it never comes up
+
+
+def test_nothing_is_left_to_expand_where_nothing_is_asked() -> None:
+    found = search(Case("daemon", ()))
+    assert found.closed and found.states == 1
+
+
+def test_a_draw_gives_every_set_that_its_chances_allow() -> None:
+    choose, found = Ordered([]), set()
+    prefix: list[int] | None = []
+    while prefix is not None:
+        choose.begin(prefix)
+        draws = Draws(choose)
+        chances = {"a": 1.0, "b": 0.5, "c": 0.0, "d": 0.01}
+        found.add(tuple(draws.draw([["a", "b"], ["c", "d"]], str, chances.__getitem__)))
+        prefix = levels._next(choose.made, 0)
+    assert found == {("a",), ("a", "b"), ("a", "d"), ("a", "b", "d")}
+    empty = Draws(Script(["the draw gives nobody"]))
+    assert [empty.draw([["b"]], str, lambda _: 0.5) for _ in range(3)] == [[], [], ["b"]]
+
+
+def _ways(case: Case, depth: int) -> list[bytes]:
+    """Some ways of so many events, each to a state of its own."""
+    ways = [b""]
+    for _ in range(depth):
+        to = {form: way + last for way, follow in zip(ways, expand(case, ways).next, strict=True)
+              for form, last in follow}
+        ways = sorted(to.values())[::max(1, len(to) // 40)]
+    return ways
