--- a/checker/__main__.py
+++ b/checker/__main__.py
@@ -21,6 +21,7 @@
 from .hunt import hunt as hunt_all
 from .verdicts import ORDER, keep, known, sample
 
+KEPT_EACH = 25    # mutants between two writings of the verdicts
 TESTS_S = 600     # of the ordinary tests on one mutant
 
 
@@ -136,7 +137,7 @@
     if args.sample:
         return _held(sample(verdicts), args.workers)
     todo = [n for n in everything if not verdicts.get(n, "").startswith("equivalent")
-            and (not args.new or n not in verdicts)][::args.each]
+            and (not args.new or n not in verdicts) and (not args.left or verdicts.get(n) == "survived")][::args.each]
     reached = _reached()
     names = set(todo)
     for module in mutate.TARGETS:
@@ -144,9 +145,16 @@
             if mutant.name in names and mutant.line not in reached[module] and "return-early" not in mutant.name:
                 verdicts[mutant.name] = "not reached"
     rest = [n for n in todo if verdicts.get(n) != "not reached"]
-    for walks in (MUTANT_WALKS, *([args.deep] if args.deep else [])):   # those that are left are hunted for longer
-        for name, found in in_turn(rest, args.workers, partial(try_mutant, walks=walks)):
-            verdicts[name] = "explorer" if "story" in found or "crash" in found else "survived"
+    hunts = [("explorer", partial(try_mutant, walks=MUTANT_WALKS))]
+    if args.deep:    # those that are left are hunted for longer
+        hunts.append(("explorer, by more walks", partial(try_mutant, walks=args.deep)))
+    if args.orders:
+        hunts.append(("explorer, by every order", partial(try_mutant, orders=True)))
+    for word, one in hunts[args.left:]:
+        for done, (name, found) in enumerate(in_turn(rest, args.workers, one)):
+            verdicts[name] = word if "story" in found or "crash" in found else "survived"
+            if done % KEPT_EACH == 0:
+                keep(verdicts)   # an hour's work is not lost where it is cut off
         rest = [n for n in rest if verdicts[n] == "survived"]
     if args.tests:
         left = [n for n in todo if verdicts[n] in ("survived", "not reached")][::args.tests]
@@ -223,6 +231,8 @@
     some.add_argument("--sample", action="store_true", help="hold a fixed sample to the kept verdicts")
     some.add_argument("--new", action="store_true", help="only those without a verdict")
     some.add_argument("--each", type=int, default=1, metavar="N", help="each Nth only")
+    some.add_argument("--left", action="store_true", help="only those that survived, without the first walks")
+    some.add_argument("--orders", action="store_true", help="play every order of some cases on survivors")
     some.add_argument("--deep", type=int, default=0, metavar="WALKS", help="hunt survivors again, by so many")
     some.add_argument("--tests", type=int, default=0, metavar="N", help="the ordinary tests on each Nth survivor too")
     some.add_argument("--workers", type=int, default=2)
--- a/checker/hunt.py
+++ b/checker/hunt.py
@@ -27,6 +27,8 @@
     "operated": {"operated": True}, "operated, drains": {"operated": True, "drains": True, "cold": True},
     "few": {"few": True}, "listed": {"listed": True}, "probes": {"probes": True}, "drains": {"drains": True},
     "all of these": {"scope": "zone", "cold": True, "listed": True, "probes": True, "drains": True}}
+# The same of a mutant that walks don't kill: some 1,500 states.
+MUTANT_ORDERS = (("daemon", ("unsafe",), 4), ("library", ("keyed",), 3))
 WALKS_EACH = 200       # of a check, for each world, face and list of effects
 LONG_TIMES = 8         # so many times as many where answers are long
 MUTANT_WALKS = 32      # of a hunt for a mutant
@@ -89,14 +91,15 @@
     return {**total, "moves": sorted(moves), "seconds": time.monotonic() - began}
 
 
-def every_order(workers: int = 1, cases: Iterable[tuple[str, tuple[str, ...], int]] = EVERY_ORDER) -> Iterator[Any]:
+def every_order(workers: int = 1, cases: Iterable[tuple[str, tuple[str, ...], int]] = EVERY_ORDER,
+                short: bool = True, audits: bool = True) -> Iterator[Any]:
     """Each case with what it came to (a `levels.Found`), up to the first that breaks something, shortened."""
     from .explore import shorten  # noqa: PLC0415 - as above
     from .levels import Case, search  # noqa: PLC0415
 
     for face, effects, depth in cases:
-        found = search(Case(face, effects), depth, workers)
-        if found.broken and not found.differs:
+        found = search(Case(face, effects), depth, workers, audits=audits)
+        if found.broken and not found.differs and short:
             report = shorten(face, effects, found.story)
             found.story, found.broken = report.story, report.failure
         yield found
@@ -107,10 +110,13 @@
 # -- mutants, each in a process of its own
 
 
-def try_mutant(name: str, walks: int = MUTANT_WALKS, short: bool = False) -> dict[str, Any]:
-    """Plant it and hunt it, in this process: `story`, or `crash`, where it is killed."""
+def try_mutant(name: str, walks: int = MUTANT_WALKS, short: bool = False, orders: bool = False) -> dict[str, Any]:
+    """Plant it and hunt it, in this process, by walks or by every order: `story`, or `crash`, where it is killed."""
     mutate.plant(name)
     try:
+        if orders:
+            *_, last = every_order(1, MUTANT_ORDERS, short, audits=False)
+            return last.told() if last.broken else {}
         found = hunt(jobs(walks), short=short)
     except Exception as error:
         return {"crash": f"{type(error).__name__}: {error}"[:200]}
--- a/checker/verdicts.py
+++ b/checker/verdicts.py
@@ -6,8 +6,8 @@
 from pathlib import Path
 
 FILE = Path(__file__).with_name("verdicts.json")
-ORDER = ("explorer", "tests", "survived, by the tests too", "not reached, by the tests too", "survived",
-         "not reached", "equivalent")
+ORDER = ("explorer", "explorer, by more walks", "explorer, by every order", "tests",
+         "survived, by the tests too", "not reached, by the tests too", "survived", "not reached", "equivalent")
 SAMPLE = 40
 
 
