--- a/checker/levels.py
+++ b/checker/levels.py
@@ -234,7 +234,13 @@
 
 
 def audit(case: Case, pair: tuple[bytes, bytes]) -> str:
-    """Whether two ways to one form go on alike: the forms that can follow must be the same.  Empty where they do."""
-    first, second = expand(case, list(pair)).next
+    """Whether two ways to one form go on alike: the forms that can follow must be the same, and nothing may break.
+
+    Empty where they do.
+    """
+    result = expand(case, list(pair))
+    if result.broken:   # by the second way alone: the first was expanded before
+        return "; ".join([*result.broken, *result.story])
+    first, second = result.next
     ours, theirs = {form for form, _ in first}, {form for form, _ in second}
     return f"{len(ours - theirs)} and {len(theirs - ours)} of {len(ours | theirs)} forms" if ours != theirs else ""
--- a/tests/checker/test_levels.py
+++ b/tests/checker/test_levels.py
@@ -7,11 +7,11 @@
 
 import pytest
 
-from checker import levels, state
+from checker import levels, properties, state
 from checker.chooser import Draws, Ordered, Script
 from checker.explore import play
 from checker.hunt import every_order
-from checker.levels import Case, Found, expand, search
+from checker.levels import Case, Found, audit, expand, search
 from checker.world import World
 from gateusher.core.engine import Engine
 from gateusher.upstream.http import Connection
@@ -65,6 +65,22 @@
     assert found.differs and "go on differently" in found.broken[0]
 
 
+def test_what_breaks_by_a_second_way_alone_is_told(monkeypatch: pytest.MonkeyPatch) -> None:
+    case, heard = Case("library", ("unsafe",)), [0, 10**9]
+
+    def always(world: World) -> list[str]:
+        heard[0] += 1
+        return ["late"] if heard[0] > heard[1] else []
+
+    monkeypatch.setattr(properties, "always", always)
+    way = _ways(case, 1)[0]
+    heard[0] = 0
+    assert audit(case, (way, way)) == "" and heard[0] > 4
+    heard[:] = [0, heard[0] // 2 + 1]    # so often by the first way, and once by the second
+    told = audit(case, (way, way))
+    assert told.startswith("BROKEN: late; unsafe-0 comes")
+
+
 def test_what_is_written_after_its_answer_is_found_by_the_shortest_way(monkeypatch: pytest.MonkeyPatch) -> None:
     """A dial that was overtaken carries its request all the same, and a deadline gives up nothing."""
     monkeypatch.setattr(Engine, "_abandon", lambda self, call: self._release(call))
