Full servers: an attempt waits its turn there; early retries did the work twice

Lines at fault: Balancer._send, patience of 0.45 of what is left whatever the servers' queues hold. Change: that patience grows with the share of attempts that are turned away, up to fivefold.

--- a/gateusher/policy/brain.py
+++ b/gateusher/policy/brain.py
@@ -25,6 +25,7 @@
 PACE, TURNED_AWAY = 0.16, 0.5    # step of the share let in; the part of its attempts that may find no place
 ROOM_LEAST, ROOM_MOST = 0.1, 1.5  # its bounds: never shut, and full again soon after
 AGAIN, IN_NEED = 125.0, 1000.0   # half the first wait after a failed watch; the longest while in need
+QUEUED = 4.0                     # so many times longer does an attempt wait where all turn work away
 LEVELS = 14                      # levels of c, each half of the one before
 BROKE = (Outcome.CONNECT_FAILED, Outcome.RESET)
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
@@ -411,8 +412,12 @@
         now, settings = self.now, self.s.classes[work.cls]
         expires = work.give_up
         if settings.effect is not Effect.UNSAFE and len(work.sent) + 1 < min(work.most, self.s.max_attempts):
+            # Where servers are full, a wait is their queue's and no silence: to give up there and ask
+            # elsewhere is to do the work twice, and a fleet of clients that do so has the least room when it
+            # needs most.  It guards against retry storms, whatever made room short.  It could harm where one
+            # server hangs while others are full: what it holds then waits longer for another attempt.
             patience = max(0.45 * (work.give_up - now), 3.0 * self.target[work.cls])
-            expires = min(expires, now + patience)
+            expires = min(expires, now + patience * (1.0 + QUEUED * self.full))
         load = self._score(server, work.cls) / (self.service[work.cls] * self.fit[server.info.kind][work.cls])
         if not (server.out and server.owes):
             server.owes, server.quiet_at = True, now
--- /dev/null
+++ b/tests/crowd.py
@@ -0,0 +1,150 @@
+"""Many balancers beside one fleet of small servers in virtual time, so that sums over all of them can be held.
+
+A server works on one request at a time and has a few places to wait; beyond that it turns away at no cost.  What was
+begun is finished, whoever still waits for it.  All times are milliseconds, all draws come from one seed.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import Counter, deque
+from collections.abc import Callable
+from random import Random
+
+from gateusher.policy.brain import Balancer
+from gateusher.policy.interface import (AttemptEnded, ClassSettings, Effect, Endpoint, Fail, ListKind, ListNews,
+                                        Outcome, Refuse, Request, Send, SetTimer, Settings, State, TimerFired, Watch)
+
+WAY = 0.5      # one way between a client and a server
+DIAL = 250.0   # until a dial to a server that is not there fails
+CLASSES = (ClassSettings(Effect.SAFE, aim_ms=640, deadline_ms=1670, worth=1),
+           ClassSettings(Effect.SAFE, aim_ms=640, deadline_ms=2000, worth=5),
+           ClassSettings(Effect.UNSAFE, aim_ms=390, deadline_ms=840, worth=2))
+MIX = (0.62, 0.2, 0.18)
+
+
+class Box:
+    """A server: one request at a time, `places` that wait."""
+
+    def __init__(self, eid: int, mean: float, places: int = 2) -> None:
+        self.eid, self.mean, self.places = eid, mean, places
+        self.waiting: deque[tuple[Callable[[], None], float]] = deque()
+        self.busy = False
+        self.up = True
+
+
+class Crowd:
+    """`clients` balancers with `rate` requests a second each, and `boxes` servers of `mean` ms of work each."""
+
+    def __init__(self, clients: int, boxes: int, rate: float, mean: float = 33.0, seed: int = 1,
+                 **more: object) -> None:
+        self.rng, self.now = Random(seed), 0.0
+        self.todo: list[tuple[float, int, Callable[[], None]]] = []
+        self.count = 0
+        self.boxes = {i: Box(i, mean) for i in range(1, boxes + 1)}
+        self.rate, self.rid = rate, 0
+        conf = {"max_attempts": 6, "idle_ms": 15000.0, "report_fields": ("waiting",), "clients": clients,
+                "cold_share": 0.3, "warm_within_ms": 8800.0, "fall_multiple": 2.5, "fall_ms": 1500.0,
+                "must_ask": True, **more}
+        self.clients = [Balancer(Settings(classes=CLASSES, index=i, **conf), seed * 1000 + i)  # type: ignore[arg-type]
+                        for i in range(clients)]
+        self.open: dict[tuple[int, int], tuple[int, float]] = {}   # (client, request): class, when it came
+        self.attempts: Counter[tuple[int, int]] = Counter()
+        self.sums: Counter[str] = Counter()                        # what all have done together
+        self.sent: Counter[int] = Counter()                        # by server
+        self.watches: list[float] = []
+        for i in range(clients):
+            self.tell(i, ListKind.FULL, [self.line(e) for e in self.boxes])
+            self.later(self.rng.expovariate(rate) * 1000, lambda i=i: self.arrive(i))
+
+    @staticmethod
+    def line(eid: int, state: State = State.READY, booted: float = 0.0) -> Endpoint:
+        return Endpoint(eid, state, 0, eid, 0, 1.0, booted)
+
+    def later(self, wait: float, what: Callable[[], None]) -> None:
+        self.count += 1
+        heapq.heappush(self.todo, (self.now + wait, self.count, what))
+
+    def run(self, until: float) -> None:
+        while self.todo and self.todo[0][0] <= until:
+            self.now, _, what = heapq.heappop(self.todo)
+            what()
+        self.now = until
+
+    def tell(self, i: int, kind: ListKind, lines: list[Endpoint]) -> None:
+        self.act(i, self.clients[i].handle(self.now, ListNews(kind, 1, tuple(lines))))
+
+    def arrive(self, i: int) -> None:
+        self.later(self.rng.expovariate(self.rate) * 1000, lambda: self.arrive(i))
+        self.rid += 1
+        cls = self.rng.choices(range(len(CLASSES)), MIX)[0]
+        patience = CLASSES[cls].deadline_ms * 0.6
+        self.open[i, self.rid] = cls, self.now
+        self.sums["asked"] += 1
+        self.act(i, self.clients[i].handle(self.now, Request(self.rid, cls, patience)))
+
+    def act(self, i: int, actions: list) -> None:  # type: ignore[type-arg]
+        for act in actions:
+            if isinstance(act, Send):
+                self.send(i, act)
+            elif isinstance(act, SetTimer):
+                self.later(act.delay_ms, lambda token=act.token: self.act(
+                    i, self.clients[i].handle(self.now, TimerFired(token))))
+            elif isinstance(act, Refuse | Fail):
+                cls, _ = self.open.pop((i, act.request))
+                self.sums["refused" if isinstance(act, Refuse) else "failed"] += 1
+                self.sums[f"lost {cls}"] += 1
+            elif isinstance(act, Watch):
+                self.watches.append(self.now)
+
+    def send(self, i: int, act: Send) -> None:
+        number = self.attempts[i, act.request]
+        self.attempts[i, act.request] += 1
+        self.sums["sent"] += 1
+        self.sent[act.endpoint] += 1
+        box, began, over = self.boxes[act.endpoint], self.now, [False]
+
+        def end(outcome: Outcome, report: tuple[float, ...] = ()) -> None:
+            if over[0]:
+                return
+            over[0] = True
+            self.sums[outcome.name] += 1
+            known = self.open.get((i, act.request))
+            if outcome is Outcome.OK and known:
+                cls, came = self.open.pop((i, act.request))
+                self.sums[f"served {cls}"] += self.now - came <= CLASSES[cls].aim_ms
+            self.act(i, self.clients[i].handle(self.now, AttemptEnded(
+                act.request, number, act.endpoint, self.now - began, outcome,
+                outcome is Outcome.OK or known is None, report)))
+
+        def done(took: float) -> None:
+            self.sums["work"] += int(took * 1000)
+            if over[0]:
+                self.sums["wasted"] += int(took * 1000)
+            self.later(WAY, lambda: end(Outcome.OK, (float(len(box.waiting)),)))
+
+        def come() -> None:
+            if not box.up:
+                self.later(DIAL - WAY, lambda: end(Outcome.CONNECT_FAILED))
+            elif box.busy and len(box.waiting) >= box.places:
+                self.later(WAY, lambda: end(Outcome.FULL, (float(len(box.waiting)),)))
+            else:
+                took = self.rng.expovariate(1 / box.mean)
+                box.waiting.append((lambda: done(took), took))
+                self.work(box)
+
+        self.later(WAY, come)
+        self.later(act.expires_ms - self.now, lambda: end(Outcome.TIMEOUT))
+
+    def work(self, box: Box) -> None:
+        if box.busy or not box.waiting:
+            return
+        box.busy = True
+        done, took = box.waiting.popleft()
+
+        def finish() -> None:
+            box.busy = False
+            done()
+            self.work(box)
+
+        self.later(took, finish)
