Doors of forty sidecars agree, first retries follow at once, long silence makes cold

Cause, lines at fault: Balancer._found_room moved the door towards one fixed part of attempts turned away. One sidecar makes that part itself; in a fleet all make it, so no door has a point to return to and each wanders between its bounds. Balancer._pause waited from the first retry on where a third was full, which spent the time of the best class in four tries of six. Balancer._answered took a server back from the dead for cold after three failures only, which a sidecar with few requests never has. Change: the part borne grows as the door narrows; three retries at once, waits after; down for eight units counts as dead.

--- a/gateusher/policy/brain.py
+++ b/gateusher/policy/brain.py
@@ -21,9 +21,12 @@
 FAVOURED, FLOOR_SET = 6, 0.3    # servers that start likely; what all floors together add to a set
 WARM = 0.7                       # part of the usual work where a key may be known
 SILENT = 1.0                     # part of the unit of time that a server may be silent with work in hand
+DOWN = 8.0                       # units after which one whose connections failed may have been started anew
 HEARD = 1 / 3                    # so many units after an answer a break is no sign of death
-PACE, TURNED_AWAY = 0.16, 0.5    # step of the share let in; the part of its attempts that may find no place
+PACE = 0.16                      # step of the share let in
+TURNED_AWAY, NARROWER = 0.3, 0.6  # part of its attempts that may find no place at full width, and more below
 ROOM_LEAST, ROOM_MOST = 0.1, 1.5  # its bounds: never shut, and full again soon after
+AT_ONCE = 4                      # so many tries follow each other at once
 AGAIN, IN_NEED = 125.0, 1000.0   # half the first wait after a failed watch; the longest while in need
 QUEUED = 4.0                     # so many times longer does an attempt wait where all turn work away
 LEVELS = 14                      # levels of c, each half of the one before
@@ -380,23 +383,32 @@
         """Move the share let in by what became of an attempt.
 
         Only attempts that reached a server at work count: served in time, or turned away or late.  It settles
-        where TURNED_AWAY of them find no place: short queues have room again a moment later, so with fewer
-        turned away servers stand idle, and with more the best worth is crowded out.  What is refused here and
+        where a part of them finds no place: short queues have room again a moment later, so with fewer
+        turned away servers stand idle, and with more the best worth is crowded out.  That part is the larger
+        the narrower the door.  Were it the same at any width, doors of a fleet would drift apart: what is
+        turned away is the doing of all, so each would wander alone between its bounds, here shut to the best
+        worth and there open to the least.  What is refused here and
         asked again by the client must not count: that would shut the door on itself, ever more with each
         repeat.  Nor must what a dead, cut off or stalled server lost, for which the others have room.  This
         should hold whatever made room short.  It could harm where turning away costs a server about as much
         as serving, and where a few servers that turn all away draw most attempts.
         """
-        step = PACE * (TURNED_AWAY if served else TURNED_AWAY - 1.0)
+        part = TURNED_AWAY + NARROWER * max(0.0, 1.0 - self.room)
+        step = PACE * (part if served else part - 1.0)
         self.room = min(ROOM_MOST, max(ROOM_LEAST, self.room + step * max(0.25, self.room)))
 
     def _pause(self, work: Work) -> float:
-        """Where most servers turn work away, trying at once only adds load: wait here instead."""
+        """Where most servers turn work away, the last tries wait for a place to come free.
+
+        The first AT_ONCE do not: one server that is full says little of sixty, and a wait that grows from the
+        first try on spends the whole time of what is worth most in a few tries.  It could harm where turning
+        away costs a server about as much as serving.
+        """
         tries = len(work.sent)
-        if self.full < 0.3 and tries < 3:
+        if tries < AT_ONCE:
             return 0.0
         worth = max(0.25, self.s.classes[work.cls].worth / self.most_worth)
-        return float(self.full * self.service[work.cls] * 2.0 ** (tries - 1) / worth ** 0.5)
+        return float(self.full * self.service[work.cls] * 2.0 ** (tries - AT_ONCE) / worth ** 0.5)
 
     def _hold(self, work: Work, wait: float) -> None:
         """Wait for another attempt; where none would be possible after the wait, this is giving up, at once.
@@ -582,7 +594,9 @@
 
     def _answered(self, server: Server) -> None:
         server.owes, server.heard_at = False, self.now
-        if server.dead and server.strikes > 2 and self.now >= server.warm_at:
+        # A client with few requests has tried it once or twice in that time; long is as good as often.
+        long = self.now - server.down_at > DOWN * self.unit
+        if server.dead and (server.strikes > 2 or long) and self.now >= server.warm_at:
             self._chill(server, self.now)  # back from the dead, maybe cold, before the list says so
         server.strikes, server.out_until = 0, 0.0
 
@@ -595,6 +609,8 @@
         server.quiet_at = self.now
         if sent_at < server.struck_at:
             return
+        if not server.strikes:
+            server.down_at = self.now
         server.strikes, server.struck_at = server.strikes + 1, self.now
         server.out_until = self.now + self.unit * 2 ** min(4, server.strikes) * (0.5 + self.rnd())
         self._learn(server, False)
--- a/gateusher/policy/records.py
+++ b/gateusher/policy/records.py
@@ -41,6 +41,7 @@
     used_at: float = LONG_AGO     # the last use of a connection
     strikes: int = 0              # silences in a row, and the time of the last
     struck_at: float = LONG_AGO
+    down_at: float = LONG_AGO     # the first of them
     lanes: dict[int, Lane] = field(default_factory=dict)  # the classes that fail there
     dead: bool = False            # the last of them was a failed connection
     out_until: float = 0.0        # left out of the draws until then
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -255,6 +255,29 @@
         assert (balancer.servers[1].warm_at > balancer.now) is cold
 
 
+def test_a_quiet_client_takes_a_server_for_cold_after_one_failure_long_ago() -> None:
+    """With a request a second it has tried it once while it was down, and does not yet know of the new start."""
+    for wait, cold in ((900.0, False), (9000.0, True)):
+        balancer = started(1)
+        for rid, now in enumerate((0.0, wait)):
+            balancer.now = now
+            (send,) = balancer.handle(now, Request(rid, 0, 3000))
+            balancer.handle(now + 5, ended(rid, 0, 1, Outcome.OK if rid else Outcome.CONNECT_FAILED))
+        assert (balancer.servers[1].warm_at > balancer.now) is cold
+
+
+def test_the_first_retries_follow_at_once_and_the_last_wait() -> None:
+    """Full servers are many and places few: waits from the first retry on would spend the whole time in them."""
+    balancer = started(60)
+    balancer.full, balancer.service, sends = 0.6, [40.0], 0
+    (act,) = balancer.handle(1.0, Request(1, 0, 900))
+    while isinstance(act, Send):
+        (act,) = [a for a in balancer.handle(2.0, ended(1, sends, act.endpoint, Outcome.FULL))
+                  if isinstance(a, Send | SetTimer | Refuse)]
+        sends += 1
+    assert sends == brain.AT_ONCE and isinstance(act, SetTimer)
+
+
 def test_a_key_meets_the_same_servers_at_every_client() -> None:
     """Warm keys pay only where all clients agree on the servers, and keys must spread evenly."""
     conf = settings(warm_keys=True)
