--- a/checker/state.py
+++ b/checker/state.py
@@ -27,8 +27,8 @@
 
 FAR_MS = 1e5                 # beyond that no difference of two times matters to anybody
 PAST_S = -GRACE_S - 0.1      # nor how long ago a grace was over
-_TIMES = frozenset({"load_at", "slow_at", "quiet_at", "served_sent", "heard_at", "used_at", "struck_at", "out_until",
-                    "cold_from", "warm_at", "credit_at", "sent_at", "barred_at"})
+_TIMES = frozenset({"load_at", "slow_at", "quiet_at", "served_sent", "heard_at", "used_at", "struck_at", "down_at",
+                    "out_until", "cold_from", "warm_at", "credit_at", "sent_at", "barred_at"})
 _SERVER = [f.name for f in fields(Server) if f.name not in ("eid", "info", "lanes", "level", "pos")]
 # What tells of an endpoint only which of several is the better one.  Where one request is left, that matters to
 # nothing: the draw may give each of them alone, and what its answer teaches comes too late for anybody.
