A server's failure is over with its answer: it is cold once, not after every warm-up

Seen on reading the change again: since long silence counts as death, a server that failed one dial was taken for cold at any answer that came later, and anew after each warm-up, and so was one that the list had told as started anew. Both were held to a cold server's budget although warm. Cause, lines at fault: Balancer._answered and _entry cleared strikes and left dead as it was; with three strikes wanted that did no harm, with the time since down_at alone it did. Change: one place, _back, ends what failed; the time is asked only for a server that has strikes. Tests: a server that is back is cold once, after its answer and after the list's word; seen to fail in both forms.

--- a/gateusher/policy/brain.py
+++ b/gateusher/policy/brain.py
@@ -170,7 +170,7 @@
             return
         if entry.booted_ms > 0 and (rebooted or not server.ready):
             self._chill(server, max(entry.booted_ms, server.cold_from))
-            server.strikes, server.out_until = 0, 0.0
+            self._back(server)
             server.lanes.clear()
         if not server.ready:
             server.ready = True
@@ -387,11 +387,11 @@
         turned away servers stand idle, and with more the best worth is crowded out.  That part is the larger
         the narrower the door.  Were it the same at any width, doors of a fleet would drift apart: what is
         turned away is the doing of all, so each would wander alone between its bounds, here shut to the best
-        worth and there open to the least.  What is refused here and
-        asked again by the client must not count: that would shut the door on itself, ever more with each
-        repeat.  Nor must what a dead, cut off or stalled server lost, for which the others have room.  This
-        should hold whatever made room short.  It could harm where turning away costs a server about as much
-        as serving, and where a few servers that turn all away draw most attempts.
+        worth and there open to the least.  What is refused here and asked again by the client must not count:
+        that would shut the door on itself, ever more with each repeat.  Nor must what a dead, cut off or
+        stalled server lost, for which the others have room.  This should hold whatever made room short.  It
+        could harm where turning away costs a server about as much as serving, and where a few servers that
+        turn all away draw most attempts.
         """
         part = TURNED_AWAY + NARROWER * max(0.0, 1.0 - self.room)
         step = PACE * (part if served else part - 1.0)
@@ -595,10 +595,14 @@
     def _answered(self, server: Server) -> None:
         server.owes, server.heard_at = False, self.now
         # A client with few requests has tried it once or twice in that time; long is as good as often.
-        long = self.now - server.down_at > DOWN * self.unit
-        if server.dead and (server.strikes > 2 or long) and self.now >= server.warm_at:
+        if (server.strikes and server.dead and self.now >= server.warm_at
+                and (server.strikes > 2 or self.now - server.down_at > DOWN * self.unit)):
             self._chill(server, self.now)  # back from the dead, maybe cold, before the list says so
-        server.strikes, server.out_until = 0, 0.0
+        self._back(server)
+
+    def _back(self, server: Server) -> None:
+        """What failed there is over."""
+        server.strikes, server.dead, server.out_until = 0, False, 0.0
 
     def _strike(self, server: Server, sent_at: float) -> None:
         """No answer: out of the draws for a while that doubles, then one trial at a time.
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -266,6 +266,23 @@
         assert (balancer.servers[1].warm_at > balancer.now) is cold
 
 
+@pytest.mark.parametrize("soon", [True, False])
+def test_a_server_that_is_back_is_cold_once(soon: bool) -> None:
+    """Its failure is over with its answer, or with the list's word: no later answer makes it cold again."""
+    balancer = started(1)
+    (send,) = balancer.handle(0.0, Request(0, 0, 3000))
+    balancer.handle(5.0, ended(0, 0, 1, Outcome.CONNECT_FAILED))
+    if not soon:
+        balancer.handle(800.0, ListNews(ListKind.CHANGES, 2, (entry(1, booted=700.0),)))
+    for rid, now in enumerate((900.0, 30000.0, 60000.0), 1):
+        balancer.now = now
+        for act in balancer.handle(now, Request(rid, 0, 3000)):
+            if isinstance(act, Send):
+                balancer.handle(now + 5, ended(rid, 0, 1, Outcome.OK))
+    assert balancer.servers[1].heard_at > 60000.0
+    assert balancer.servers[1].warm_at < 10000.0
+
+
 def test_the_first_retries_follow_at_once_and_the_last_wait() -> None:
     """Full servers are many and places few: waits from the first retry on would spend the whole time in them."""
     balancer = started(60)
