A start survives a machine without Unix sockets; a guard plays run under the trial's filter

Asked for: io_uring_setup, once, by libuv, which goes on with epoll; nothing else. Planted programs that spawn, splice, sendfile or open IPv6 are each found.

--- a/gateusher/handover/channel.py
+++ b/gateusher/handover/channel.py
@@ -169,7 +169,13 @@
 
     This waits for ANSWER_S at most, before anything else of this process runs.
     """
-    sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET | socket.SOCK_CLOEXEC)
+    try:
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET | socket.SOCK_CLOEXEC)
+    except OSError as error:
+        # Where a machine knows no Unix sockets nobody can hand over, and an upgrade is a restart.  It could hide
+        # that a process is out of descriptors, so it is told.
+        say("handover", f"starting without: {error}")
+        return None
     sock.settimeout(ANSWER_S)
     fds: list[int] = []
     try:
--- /dev/null
+++ b/tests/standing/__init__.py
@@ -0,0 +1,1 @@
+"""What the operators' standing trial asks of `run`, held without the trial."""
--- /dev/null
+++ b/tests/standing/test_run.py
@@ -0,0 +1,146 @@
+"""`run` as the deploy file words it, where the kernel refuses what the standing trial refuses.
+
+The trial answers ENOSYS or EINVAL to new processes, io_uring, splice and sendfile, knows sockets of IPv4 alone, and
+lets nobody come to a Unix socket.  What the program asks for is counted, so a fallback does not hide it.
+"""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tomllib
+from collections.abc import Iterator
+from contextlib import suppress
+from pathlib import Path
+
+import pytest
+
+from ..helpers import HANG_S
+from ..net import Discovery, Endpoint, Writer, configuration, host, look, pay, read_message, unused
+from ..test_sockets import ROOT, run, status
+from .refusal import Watch
+
+DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+# The same words with the interpreter that runs the tests: a clone of another folder has no .venv of its own.
+RUN = DEPLOY["run"].replace(".venv/bin/python", sys.executable)
+LONG = 3 << 20
+
+
+@pytest.fixture
+def watch() -> Iterator[Watch]:
+    watch = Watch()
+    yield watch
+    watch.end()
+
+
+async def _health(where: tuple[str, int]) -> None:
+    """Wait until it takes clients: asked again and again, since it does not say so by itself."""
+    while True:
+        with suppress(OSError, asyncio.IncompleteReadError):
+            reader, writer = await asyncio.open_connection(*where)
+            writer.write(b"GET /_health HTTP/1.1\r\nHost: o\r\n\r\n")
+            head, _ = await read_message(reader)
+            writer.close()
+            if status(head) == 200:
+                return
+        await asyncio.sleep(0.01)
+
+
+async def _up(process: asyncio.subprocess.Process, where: tuple[str, int]) -> None:
+    """Wait until it serves; a process that ended instead has failed to start."""
+    tasks = [asyncio.ensure_future(process.wait()), asyncio.ensure_future(_health(where))]
+    await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    for task in tasks:
+        task.cancel()
+    assert process.returncode is None, "it did not start"
+
+
+async def _long(head: bytes, writer: Writer) -> None:
+    """Answers that are passed on as they come, where a program could think of splice."""
+    size = LONG if b"long" in head else 2
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size + bytes(size))
+
+
+def test_run_names_one_program_that_stays() -> None:
+    assert DEPLOY["run"].startswith("exec ") and not set(DEPLOY["run"]) & set(";&|`$(")
+    assert "sendfile" not in DEPLOY["build"] and DEPLOY["packages"] == []
+
+
+@pytest.mark.parametrize("unix", [True, False], ids=["as in the trial", "no Unix sockets either"])
+def test_it_serves_where_the_calls_are_refused(watch: Watch, unix: bool, tmp_path: Path) -> None:
+    """Starts, serves small, long and uploaded, follows SIGHUP, drains at SIGTERM, and asks for nothing refused."""
+    async def test() -> None:
+        endpoint = Endpoint(_long)
+        await endpoint.start()
+        hosts = [host("e0", endpoint.port)]
+        first, second = Discovery(hosts), Discovery(hosts, seq=2)
+        await first.start()
+        await second.start()
+        where, peers = unused(), unused()
+        path, folder = tmp_path / "config.json", tmp_path / "private"
+        folder.mkdir(mode=0o700)
+        told = {"listen": "{}:{}".format(*where), "peer_listen": "{}:{}".format(*peers),
+                "limits": {"memory_mb": 192, "sockets": 256}}
+        path.write_text(json.dumps(configuration(hosts, first.port, **told)))
+        process = await asyncio.create_subprocess_exec(
+            *watch.command(RUN, unix), cwd=ROOT, pass_fds=[watch.theirs.fileno()], stderr=asyncio.subprocess.PIPE,
+            env={**os.environ, "BALANCER_CONFIG": str(path), "TMPDIR": str(folder),
+                 "BALANCER_DISCOVERY": f"127.0.0.1:{first.port}"})
+        watch.begin()
+        try:
+            await _up(process, where)
+            await first.watched.wait()
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer:  # whatever peers send is no reason to end
+                for data in (b"", b"\0" * 256, b"{}", b"\xff" * 1400, os.urandom(256)):
+                    peer.sendto(data, peers)
+            reader, writer = await asyncio.open_connection(*where)
+            writer.write(look())
+            assert await read_message(reader) == (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", b"\0\0")
+            writer.write(look("long"))
+            head, body = await read_message(reader)
+            assert (status(head), len(body)) == (200, LONG)
+            writer.write(pay("up", more=b"Content-Length: %d\r\n" % LONG, body=bytes(LONG)))
+            assert status((await read_message(reader))[0]) == 200
+            path.write_text(json.dumps(configuration(hosts, second.port, **told)))
+            process.send_signal(signal.SIGHUP)
+            await second.watched.wait()
+            writer.write(look("last"))
+            assert status((await read_message(reader))[0]) == 200
+            children = [Path(task, "children").read_text() for task in Path(f"/proc/{process.pid}/task").iterdir()]
+            assert not "".join(children)
+            process.send_signal(signal.SIGTERM)
+            writer.close()
+            assert await process.wait() == 0
+        finally:
+            if process.returncode is None:
+                process.kill()
+            assert process.stderr
+            said = (await process.stderr.read()).decode()
+        for server in (first.server, second.server, endpoint.server):
+            server.close()
+        assert "Traceback" not in said
+        # libuv asks for io_uring once, and goes on with epoll.  Without Unix sockets nobody can hand over: that it
+        # asks is seen, and that it goes on.
+        assert set(watch.refused) - {"io_uring_setup"} == (set() if unix else {"socket"}), said
+        assert watch.programs == 2      # the shell, and what it execs
+    run(asyncio.wait_for(test(), HANG_S))
+
+
+REFUSED = {
+    "clone": "import subprocess, sys; subprocess.run([sys.executable, '-c', ''])",
+    "splice": "import os; os.splice(*os.pipe(), 1)",
+    "sendfile": "import os; os.sendfile(1, 0, 0, 1)",
+    "socket": "import socket; socket.socket(socket.AF_INET6)"}
+
+
+@pytest.mark.parametrize("call", REFUSED)
+def test_a_program_that_does_what_is_refused_is_found(watch: Watch, call: str) -> None:
+    process = subprocess.Popen(watch.command(f"exec {sys.executable} -c \"{REFUSED[call]}\""), cwd=ROOT,
+                               pass_fds=[watch.theirs.fileno()], stderr=subprocess.PIPE)
+    watch.begin()
+    _, said = process.communicate(timeout=HANG_S)
+    assert process.returncode == 1 and b"OSError" in said or b"Error" in said
+    assert set(watch.refused) & {call, *(["fork", "vfork"] if call == "clone" else [])}
