--- a/gateusher/node.py
+++ b/gateusher/node.py
@@ -8,10 +8,12 @@
 
 from .base.clock import Clock
 from .base.limits import Bytes, Descriptors, Pool
+from .base.log import say
 from .config.classes import Classes, Kind
 from .config.model import Config
 from .core.engine import Engine
 from .discovery.catalog import Discovery
+from .policy.interface import Woke
 from .upstream.http import Upstream
 from .upstream.reports import reader
 
@@ -19,6 +21,7 @@
     from .discovery.fixed import Fixed
 
 SWEEP_S = 0.1
+STOOD_STILL_S = 1.0  # a sweep that comes so late found the process standing still
 MEMORY_SHARE = 3    # one part in so many of the memory limit may be bodies and answers
 
 
@@ -59,12 +62,20 @@
         self.classes = Classes(_kinds(config))
         self.names = config.names
         self.discovery.cached(config.known)
+        self._sweep_later()
+
+    def _sweep_later(self) -> None:
+        self._sweep_due = self.loop.time() + SWEEP_S
         self._sweeping = self.loop.call_later(SWEEP_S, self._sweep)
 
     def _sweep(self) -> None:
+        # Timers fire in the order they are due, so after a pause this one comes before the attempts' time-outs.
+        if (late := self.loop.time() - self._sweep_due) > STOOD_STILL_S:
+            say("clock", f"stood still for {late:.1f} s")
+            self.engine.deliver(Woke(late * 1000))
         self.upstream.sweep()
         self.discovery.sweep()
-        self._sweeping = self.loop.call_later(SWEEP_S, self._sweep)
+        self._sweep_later()
 
     def follow(self, config: Config) -> None:
         """Take up a new configuration: where the list comes from, the classes, attempts, waits and idle times.
--- a/gateusher/policy/brain.py
+++ b/gateusher/policy/brain.py
@@ -13,7 +13,7 @@
 
 from .interface import (Action, AttemptEnded, CloseIdle, Departed, Effect, Endpoint, Event, Fail,
                         ListKind, ListNews, Outcome, Probe, Probed, Refuse, Request, Retuned, Scope, Send,
-                        SetTimer, Settings, State, StreamBegan, TimerFired, Uploaded, Watch)
+                        SetTimer, Settings, State, StreamBegan, TimerFired, Uploaded, Watch, Woke)
 from .records import Lane, Server, Work, spread
 
 RAISE, LOWER = 0.1, 0.15         # a and b of the automaton
@@ -59,7 +59,7 @@
         self.service = [c.aim_ms / 4 for c in classes]
         self.fit = [[1.0] * len(classes) for _ in range(settings.kinds + 1)]
         self.mean_load, self.mean_share, self.rate, self.rate_at = 0.0, 1.0, 0.0, 0.0
-        self.count = [0] * len(classes)
+        self.count, self.woke_at = [0] * len(classes), -1e12
         self.field = next((i for i, f in enumerate(settings.report_fields) if f in ("waiting", "active")), -1)
 
     def handle(self, now_ms: float, event: Event) -> list[Action]:
@@ -169,7 +169,9 @@
                 del self.servers[server.eid]
             return
         if entry.booted_ms > 0 and (rebooted or not server.ready):
-            self._chill(server, max(entry.booted_ms, server.cold_from))
+            # No start that is told now can lie ahead: where it seems to, the wall clock here runs behind, as
+            # after a sleep, and the server would count as cold until it has caught up.
+            self._chill(server, min(self.now, max(entry.booted_ms, server.cold_from)))
             self._back(server)
             server.lanes.clear()
         if not server.ready:
@@ -476,6 +478,16 @@
         if work := self.work.get(event.request):
             work.began, work.give_up = self.now, self.now + work.span
 
+    def _woke(self, event: Woke) -> None:
+        """What was out while we stood still could not be heard: its time and its silence say nothing of servers.
+
+        It guards against a machine that was paused and then takes its whole fleet for hung, and shuts its door.
+        It would spare a server that fell silent in just that time, until the next request to it is overdue.
+        """
+        self.woke_at = self.now
+        for server in self.servers.values():
+            server.quiet_at = self.now
+
     def _departed(self, event: Departed) -> None:
         work = self.work.get(event.request)
         if work:
@@ -517,6 +529,10 @@
 
     def _feedback(self, server: Server, work: Work, event: AttemptEnded, sent_at: float, load: float) -> None:
         cls, outcome, elapsed = work.cls, event.outcome, event.elapsed_ms
+        if sent_at < self.woke_at:
+            if outcome in (Outcome.OK, Outcome.FULL):
+                self._answered(server)
+            return
         if outcome in (Outcome.OK, Outcome.FULL):
             self._found_room(outcome is Outcome.OK and self.now - work.began <= self.s.classes[cls].aim_ms)
         self.full += ((outcome is Outcome.FULL) - self.full) * 0.05
@@ -629,4 +645,4 @@
     ListNews: Balancer._news, Request: Balancer._request, AttemptEnded: Balancer._ended,
     TimerFired: Balancer._timer, Departed: Balancer._departed, StreamBegan: Balancer._began,
     Probed: Balancer._probed, Retuned: Balancer._retuned,
-    Uploaded: Balancer._uploaded}
+    Uploaded: Balancer._uploaded, Woke: Balancer._woke}
--- a/gateusher/policy/interface.py
+++ b/gateusher/policy/interface.py
@@ -187,6 +187,12 @@
     report: tuple[float, ...] = ()
 
 
+class Woke(NamedTuple):
+    """The process stood still for so long: its machine was paused, or something else held its only thread."""
+
+    gap_ms: float
+
+
 class Heard(NamedTuple):
     sender: int
     data: bytes
@@ -200,7 +206,8 @@
     live: tuple[int, ...]                           # those that requests still come with
 
 
-Event = ListNews | Request | AttemptEnded | StreamBegan | Departed | TimerFired | Probed | Heard | Retuned | Uploaded
+Event = (ListNews | Request | AttemptEnded | StreamBegan | Departed | TimerFired | Probed | Heard | Retuned | Uploaded
+         | Woke)
 
 
 class Send(NamedTuple):
--- a/tests/standing/refusal.py
+++ b/tests/standing/refusal.py
@@ -23,8 +23,9 @@
     "x86_64": {"clone": 56, "fork": 57, "vfork": 58, "clone3": 435, "execve": 59, "execveat": 322, "sendfile": 40,
                "splice": 275, "tee": 276, "vmsplice": 278, "io_uring_setup": 425, "io_uring_enter": 426,
                "io_uring_register": 427, "socket": 41},
-    "aarch64": {"clone": 220, "clone3": 435, "execve": 221, "execveat": 281, "sendfile": 71, "splice": 76, "tee": 77,
-                "vmsplice": 75, "io_uring_setup": 425, "io_uring_enter": 426, "io_uring_register": 427, "socket": 198}}
+    "aarch64": {"clone": 220, "clone3": 435, "execve": 221, "execveat": 281, "sendfile": 71, "splice": 76,
+                "tee": 77, "vmsplice": 75, "io_uring_setup": 425, "io_uring_enter": 426,
+                "io_uring_register": 427, "socket": 198}}
 ARCH = {"x86_64": 0xC000003E, "aarch64": 0xC00000B7}       # linux/audit.h
 SECCOMP = {"x86_64": 317, "aarch64": 277}
 EINVALID = {"splice", "tee", "vmsplice"}                   # answered EINVAL, all others ENOSYS
