--- a/gateusher/policy/brain.py
+++ b/gateusher/policy/brain.py
@@ -479,7 +479,7 @@
             work.began, work.give_up = self.now, self.now + work.span
 
     def _woke(self, event: Woke) -> None:
-        """What was out while we stood still could not be heard: its time and its silence say nothing of servers.
+        """What was out while we stood still could not be heard: neither its time nor its silence counts.
 
         It guards against a machine that was paused and then takes its whole fleet for hung, and shuts its door.
         It would spare a server that fell silent in just that time, until the next request to it is overdue.
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import heapq
+from bisect import bisect_right
 from collections import Counter, deque
 from collections.abc import Callable
 from random import Random
@@ -23,21 +24,69 @@
 MIX = (0.62, 0.2, 0.18)
 
 
+class Listing:
+    """The service of the list: `rate` calls a second in turn, and one that waited `patience` ms has failed."""
+
+    def __init__(self, crowd: "Crowd", rate: float, patience: float = 2000.0) -> None:
+        self.crowd, self.each, self.patience = crowd, 1000.0 / rate, patience
+        self.free = 0.0                          # when the last call in line will be through
+        self.calls: list[float] = []             # when each came
+        self.told: dict[int, float] = {}         # client: when it had its first list
+
+    def call(self, i: int) -> None:
+        crowd = self.crowd
+        self.calls.append(crowd.now)
+        begins = max(self.free, crowd.now)
+        if begins - crowd.now > self.patience:   # it leaves the line, and cost the service nothing
+            crowd.later(self.patience, lambda: crowd.tell(i, ListKind.FAILED, []))
+            return
+        self.free = begins + self.each
+        crowd.later(self.free - crowd.now, lambda: self._answer(i))
+
+    def _answer(self, i: int) -> None:
+        self.told.setdefault(i, self.crowd.now)
+        self.crowd.tell(i, ListKind.FULL, [self.crowd.line(e) for e, box in self.crowd.boxes.items() if box.up])
+
+    def worst_second(self) -> int:
+        """The most calls in any second."""
+        return max((bisect_right(self.calls, t + 1000.0) - i for i, t in enumerate(self.calls)), default=0)
+
+
 class Box:
-    """A server: one request at a time, `places` that wait."""
+    """A server: one request at a time, `places` that wait.
+
+    From `cold_from` on it does `share` of its usual work, rising to all of it within `warm_within` ms.
+    """
 
-    def __init__(self, eid: int, mean: float, places: int = 2) -> None:
+    def __init__(self, eid: int, mean: float, places: int = 2, share: float = 0.3, warm_within: float = 8800.0) -> None:
         self.eid, self.mean, self.places = eid, mean, places
+        self.share, self.warm_within, self.cold_from = share, warm_within, -1e12
+        self.asked: list[tuple[float, float]] = []   # while cold: when, and how much work in ms
         self.waiting: deque[tuple[Callable[[], None], float]] = deque()
         self.busy = False
         self.up = True
 
+    def able(self, now: float) -> float:
+        """The part of its usual work that it can do now."""
+        return min(1.0, self.share + (1.0 - self.share) * (now - self.cold_from) / self.warm_within)
+
+    def worst_window(self, window: float) -> float:
+        """The most work asked of it in a window of so many ms, over what it could do at the window's start."""
+        worst, first, total = 0.0, 0, 0.0
+        for at, work in self.asked:
+            total += work
+            while self.asked[first][0] < at - window:
+                total -= self.asked[first][1]
+                first += 1
+            worst = max(worst, total / (self.able(max(self.cold_from, at - window)) * window))
+        return worst
+
 
 class Crowd:
     """`clients` balancers with `rate` requests a second each, and `boxes` servers of `mean` ms of work each."""
 
     def __init__(self, clients: int, boxes: int, rate: float, mean: float = 33.0, seed: int = 1,
-                 **more: object) -> None:
+                 list_rate: float = 0.0, **more: object) -> None:
         self.rng, self.now = Random(seed), 0.0
         self.todo: list[tuple[float, int, Callable[[], None]]] = []
         self.count = 0
@@ -52,9 +101,9 @@
         self.attempts: Counter[tuple[int, int]] = Counter()
         self.sums: Counter[str] = Counter()                        # what all have done together
         self.sent: Counter[int] = Counter()                        # by server
-        self.watches: list[float] = []
-        for i in range(clients):
-            self.tell(i, ListKind.FULL, [self.line(e) for e in self.boxes])
+        self.listing = Listing(self, list_rate) if list_rate else None
+        for i in range(clients):  # all start at once; with a list that must be asked they know an old one
+            self.tell(i, ListKind.CACHED if list_rate else ListKind.FULL, [self.line(e) for e in self.boxes])
             self.later(self.rng.expovariate(rate) * 1000, lambda i=i: self.arrive(i))
 
     @staticmethod
@@ -94,8 +143,8 @@
                 cls, _ = self.open.pop((i, act.request))
                 self.sums["refused" if isinstance(act, Refuse) else "failed"] += 1
                 self.sums[f"lost {cls}"] += 1
-            elif isinstance(act, Watch):
-                self.watches.append(self.now)
+            elif isinstance(act, Watch) and self.listing:
+                self.listing.call(i)
 
     def send(self, i: int, act: Send) -> None:
         number = self.attempts[i, act.request]
@@ -103,6 +152,7 @@
         self.sums["sent"] += 1
         self.sent[act.endpoint] += 1
         box, began, over = self.boxes[act.endpoint], self.now, [False]
+        able = box.able(self.now)
 
         def end(outcome: Outcome, report: tuple[float, ...] = ()) -> None:
             if over[0]:
@@ -124,18 +174,37 @@
             self.later(WAY, lambda: end(Outcome.OK, (float(len(box.waiting)),)))
 
         def come() -> None:
+            if box.up and able < 1.0:
+                box.asked.append((self.now, box.mean))
             if not box.up:
                 self.later(DIAL - WAY, lambda: end(Outcome.CONNECT_FAILED))
             elif box.busy and len(box.waiting) >= box.places:
                 self.later(WAY, lambda: end(Outcome.FULL, (float(len(box.waiting)),)))
             else:
-                took = self.rng.expovariate(1 / box.mean)
+                took = self.rng.expovariate(1 / box.mean) / able
                 box.waiting.append((lambda: done(took), took))
                 self.work(box)
 
         self.later(WAY, come)
         self.later(act.expires_ms - self.now, lambda: end(Outcome.TIMEOUT))
 
+    def lose(self, eids: list[int]) -> None:
+        """These servers are gone without a word; what they had is lost with them."""
+        for eid in eids:
+            self.boxes[eid].up = False
+            self.boxes[eid].waiting.clear()
+
+    def bring_back(self, eids: list[int], told_after: float | None) -> None:
+        """They return cold, and the list says so after a while, or never."""
+        for eid in eids:
+            box = self.boxes[eid]
+            box.up, box.cold_from = True, self.now
+        lines = [self.line(eid, booted=self.now) for eid in eids]
+        if told_after is not None:
+            for i in range(len(self.clients)):
+                self.later(told_after * (0.5 + self.rng.random()),
+                           lambda i=i: self.tell(i, ListKind.CHANGES, lines))  # type: ignore[misc]
+
     def work(self, box: Box) -> None:
         if box.busy or not box.waiting:
             return
@@ -144,7 +213,8 @@
 
         def finish() -> None:
             box.busy = False
-            done()
+            if box.up:
+                done()
             self.work(box)
 
         self.later(took, finish)
