Cold servers get what their budget allows at once, not when a coin falls on them

Cause: _has_credit grants each client a budget, but it was spent only when a coin fell on the server (Balancer._pick), and a server that starts has the floor's probability, 0.3 over all servers: a budget earned waited some 25 s for its coin. Change: _earned adds one cold server whose budget allows a request to the set that is drawn; the score decides as before.

--- a/gateusher/load/player.py
+++ b/gateusher/load/player.py
@@ -16,6 +16,7 @@
 import httptools
 
 from . import challenge
+from .alarm import Alarm
 from .challenge import NoStandInError
 from .pacing import Close, Done, Dropped, Due, Go, Late, Pacer, Tick
 from .plan import Planned
@@ -45,9 +46,8 @@
         self._proven, self._trace, self._refused = proven, trace, refused
         self.pacer = Pacer(most_connections)
         self._todo: list[tuple[float, int, Planned]] = []
-        self._timer: asyncio.TimerHandle | None = None
-        self._tick: asyncio.TimerHandle | None = None
-        self._tick_at = 0.0
+        self._alarm = Alarm(self._due)      # the next request's time
+        self._pause = Alarm(self._thought)  # the end of the next pause of a client
         self._lanes: dict[tuple[int, int], _Connection] = {}
         self._asking: asyncio.Task[None] | None = None
         self._unused = asyncio.Event()      # nothing is planned or open any more
@@ -85,12 +85,11 @@
 
     def offer(self, planned: Planned) -> None:
         heapq.heappush(self._todo, (planned.at, planned.number, planned))
-        if self._timer is None and not self.stopped:
-            self._timer = self._loop.call_later(max(0.0, planned.at - self.now()), self._due)
+        if not self.stopped and (not self._alarm.at or self._alarm.at > self.start + planned.at):
+            self._alarm.set(self.start + planned.at)
 
     def _due(self) -> None:
-        """All whose time has come; the timer follows the next one."""
-        self._timer = None
+        """All whose time has come; the alarm follows the next one."""
         now = self.now()
         todo = self._todo
         while todo and todo[0][0] <= now and not self.stopped:
@@ -104,7 +103,7 @@
             self.open += 1
             self._perform(self.pacer.handle(now, Due(planned)))
         if todo and not self.stopped:
-            self._timer = self._loop.call_later(max(0.0, todo[0][0] - self.now()), self._due)
+            self._alarm.set(self.start + todo[0][0])
         self._check()
 
     def finish(self) -> None:
@@ -116,9 +115,7 @@
         """Send nothing more; what is out keeps its deadline."""
         if not self.stopped:
             self.stopped = why
-            if self._timer:
-                self._timer.cancel()
-                self._timer = None
+            self._alarm.stop()
             self._todo.clear()
             self._over = True
             self._check()
@@ -128,9 +125,8 @@
         await self._unused.wait()
         if self._asking:
             self._asking.cancel()
-        for handle in (self._timer, self._tick):
-            if handle:
-                handle.cancel()
+        self._alarm.close()
+        self._pause.close()
         for connection in list(self._lanes.values()):
             connection.close()
 
@@ -158,14 +154,10 @@
                 self.open -= 1
                 self._ended(action.planned, Outcome.HELD_BACK, -1.0)
         due = self.pacer.next_tick()
-        if due is not None and (self._tick is None or self._tick_at > due):
-            if self._tick:
-                self._tick.cancel()
-            self._tick_at = due
-            self._tick = self._loop.call_later(max(0.0, due - self.now()), self._thought)
+        if due is not None and (not self._pause.at or self._pause.at > self.start + due):
+            self._pause.set(self.start + due)
 
     def _thought(self) -> None:
-        self._tick = None
         self._perform(self.pacer.handle(self.now(), Tick()))
 
     # -- from the connections
--- a/gateusher/policy/brain.py
+++ b/gateusher/policy/brain.py
@@ -29,6 +29,7 @@
 AT_ONCE = 4                      # so many tries follow each other at once
 AGAIN, IN_NEED = 125.0, 1000.0   # half the first wait after a failed watch; the longest while in need
 QUEUED = 4.0                     # so many times longer does an attempt wait where all turn work away
+LOOKED_AT = 64                   # cold servers that are looked at for one request
 LEVELS = 14                      # levels of c, each half of the one before
 BROKE = (Outcome.CONNECT_FAILED, Outcome.RESET)
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
@@ -60,6 +61,7 @@
         self.fit = [[1.0] * len(classes) for _ in range(settings.kinds + 1)]
         self.mean_load, self.mean_share, self.rate, self.rate_at = 0.0, 1.0, 0.0, 0.0
         self.count, self.woke_at = [0] * len(classes), -1e12
+        self.cold: list[Server] = []   # those that were cold when they were last looked at
         self.field = next((i for i, f in enumerate(settings.report_fields) if f in ("waiting", "active")), -1)
 
     def handle(self, now_ms: float, event: Event) -> list[Action]:
@@ -180,6 +182,8 @@
             self._place(server, self.floor)
 
     def _chill(self, server: Server, start: float) -> None:
+        if server not in self.cold:
+            self.cold.append(server)
         server.cold_from, server.warm_at = start, start + self.s.warm_within_ms
         # A random first credit makes many quiet clients add up to the right share.
         server.credit, server.credit_at = self.rnd() - 1.0, self.now
@@ -290,7 +294,7 @@
         if work.home:
             return self._pick_home(work, work.home)
         best, least, homes = None, 1e18, self._homes(work.key)
-        for server in homes + (self._draw() or self._draw()):
+        for server in homes + self._earned() + (self._draw() or self._draw()):
             if server in tried or not self._usable(server, cls):
                 continue
             score = self._score(server, cls) * (WARM if server in homes else 1.0) * (1.0 + 1e-6 * self.rnd())
@@ -309,6 +313,29 @@
                 return server
         return best
 
+    def _earned(self) -> list[Server]:
+        """A cold server that this client's budget allows a request now; it joins the set that is drawn.
+
+        Left to the coins such a budget is not spent: a server that starts has the least probability of all.
+        Where much of a fleet is replaced the warm rest is overrun then, beside new servers that stand idle,
+        and these warm up by their work alone.  What all clients may send together is the same as before.  It
+        could harm where that is guessed too high, since it is used now; the score still has the last word.
+        """
+        cold, now, stale = self.cold, self.now, False
+        found: list[Server] = []
+        n = len(cold)
+        first = int(self.rnd() * n) if n else 0
+        for i in range(min(n, LOOKED_AT)):
+            server = cold[(first + i) % n]
+            if not server.ready or server.warm_at <= now:
+                stale = True
+            elif server.out_until <= now and self._has_credit(server):
+                found.append(server)
+                break
+        if stale:
+            self.cold = [s for s in cold if s.ready and s.warm_at > now]
+        return found
+
     def _homes(self, key: int) -> list[Server]:
         """The servers where every client's requests with this key meet, so that it is warm there."""
         if not key or not self.ring:
@@ -481,7 +508,7 @@
     def _woke(self, event: Woke) -> None:
         """What was out while we stood still could not be heard: neither its time nor its silence counts.
 
-        It guards against a machine that was paused and then takes its whole fleet for hung, and shuts its door.
+        It guards against a machine that was paused, then takes its whole fleet for hung and shuts its door.
         It would spare a server that fell silent in just that time, until the next request to it is overdue.
         """
         self.woke_at = self.now
