--- a/bench/replay.py
+++ b/bench/replay.py
@@ -218,8 +218,8 @@
             results = data["results"]
             late = results["lateness_ms"]
             print(f"{workers} workers, {results['requests'] * speed / 400:.0f} a second: lateness p99 "
-                  f"{late['p99']:.2f} ms, latest {late['max']:.0f} ms, {cpu / results['requests'] * 1e6:.0f} us of CPU"
-                  f" a request{' - fell behind' if results['fell_behind'] else ''}", flush=True)
+                  f"{late['p99']:.2f} ms, latest {late['max']:.0f} ms, {cpu / results['requests'] * 1e6:.0f} us of "
+                  f"CPU a request{' - fell behind' if results['fell_behind'] else ''}", flush=True)
             if results["fell_behind"]:
                 break
 
--- a/gateusher/cli/run.py
+++ b/gateusher/cli/run.py
@@ -13,7 +13,7 @@
 
 import uvloop
 
-from ..base.log import say
+from ..base.log import attach, say
 from ..config import platform
 from ..config.model import Config, ConfigError
 from ..daemon import Sidecar
@@ -71,12 +71,15 @@
 def run(path: str | None) -> int:
     """Serve until a signal ends it."""
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})  # one that comes before we are up waits
+    attach()
     try:
         config = load(path, os.environ)
     except ConfigError as error:
         for fault in error.faults:
             say("configuration", fault)
         return 2
+    if config.log != "text":
+        attach(config.log)
     meeting = channel.place(config.name, os.environ)
     inherited = channel.ask(meeting) if meeting else None
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
--- a/gateusher/config/file.py
+++ b/gateusher/config/file.py
@@ -78,6 +78,12 @@
     warm_within: Annotated[float, Meta(ge=0, le=86400)] = 0.0
 
 
+class Log(Struct, forbid_unknown_fields=True, frozen=True):
+    """How the daemon writes its lines on stderr."""
+
+    format: Literal["text", "json"] = "text"
+
+
 class Rehearsal(Struct, forbid_unknown_fields=True, frozen=True):
     """Every endpoint has to prove that it is a stand-in, and again so often."""
 
@@ -114,6 +120,7 @@
     discovery: Discovery | None = None
     limits: Limits = field(default_factory=Limits)
     cold: Cold = field(default_factory=Cold)
+    log: Log = field(default_factory=Log)
     rehearsal: Rehearsal | None = None
     load: list[Load] = field(default_factory=list)
 
@@ -262,7 +269,8 @@
                       for c in classes),
         serves=APPLICATION if file.answers == "application" else OK_ONLY, authority=file.authority,
         margin_s=limits.margin, drain_s=limits.drain, admin=address(file.admin) if file.admin else None,
-        rehearsal_ms=file.rehearsal.every * 1000 if file.rehearsal else 0.0, loads=tuple(file.load))
+        log=file.log.format, rehearsal_ms=file.rehearsal.every * 1000 if file.rehearsal else 0.0,
+        loads=tuple(file.load))
 
 
 def load(path: str) -> Config:
--- a/gateusher/config/model.py
+++ b/gateusher/config/model.py
@@ -55,6 +55,7 @@
     drain_s: float = 3.4                    # how long a planned end waits for what is open
     shape: dict[str, Any] | None = None     # the platform's file: what a new one must hold too
     admin: tuple[str, int] | None = None    # the operators' own address; None: there is none
+    log: str = "text"                       # how its lines are written: "text" or "json"
     rehearsal_ms: float = 0.0               # nodes have to prove so often that they are stand-ins; 0: they needn't
     loads: tuple[Any, ...] = ()             # sources that it plays by itself (`config.file.Load`)
 
--- a/gateusher/load/report.py
+++ b/gateusher/load/report.py
@@ -82,7 +82,7 @@
 def _svg(figure: Figure) -> Markup:
     out = io.StringIO()
     with rc_context({"svg.hashsalt": "gateusher", "svg.fonttype": "none"}):
-        figure.savefig(out, format="svg", metadata={"Date": None})
+        figure.savefig(out, format="svg", metadata=dict.fromkeys(("Date", "Creator", "Format", "Type")))
     text = out.getvalue()
     return Markup(text[text.index("<svg"):])  # noqa: S704 - drawn here, of numbers and names that it has escaped
 
--- a/gateusher/load/run.py
+++ b/gateusher/load/run.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import json
 import multiprocessing
 import secrets
@@ -261,6 +262,8 @@
 def _work(pipe: Connection[Any, Any], number: int, mapping: dict[str, Any], salt: str, options: Options) -> None:
     """A worker process, from its first request to its counts."""
     signal.signal(signal.SIGINT, signal.SIG_IGN)   # the one that reads decides what a Ctrl-C means
+    gc.freeze()                                    # what was imported stays; a sweep over it would be lateness
+    gc.set_threshold(50_000, 50, 100)
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(_Worker(pipe, number, mapping, salt, options).run())
 
@@ -328,7 +331,7 @@
         return self._player.ahead >= AHEAD and self._last > self._player.now() + AHEAD_S
 
     def _read(self, loop: asyncio.AbstractEventLoop) -> None:
-        """Take what comes, as far as there is room; on a thread of its own, to the end of the plan."""
+        """Take what comes, as far as there is room; on a thread of its own.  A stop may come behind the end."""
         decoder = msgspec.msgpack.Decoder(list[Planned] | bool | float | None)
         with suppress(RuntimeError):         # the loop has ended before the plan
             while True:
@@ -338,7 +341,7 @@
                 except (EOFError, OSError):
                     message = False
                 loop.call_soon_threadsafe(self._take, message)
-                if message is None or isinstance(message, bool):
+                if isinstance(message, bool):
                     return
 
     def _take(self, message: list[Planned] | bool | float | None) -> None:
--- /dev/null
+++ b/tests/load/test_command.py
@@ -0,0 +1,150 @@
+"""`gateusher replay` and `inspect` as processes: a run, a stop and its resume, and what they refuse."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from gateusher.cli.commands import command
+from gateusher.load import report
+from gateusher.standins.nodes import Fleet, Node
+
+from ..helpers import HANG_S
+from ..net import unused
+from ..test_sockets import ROOT, run
+from .target import FORM, files, impostor
+
+
+async def replay(*words: str, stop_at: asyncio.Future[Any] | None = None) -> tuple[int, str]:
+    """Run it to its end, or interrupt it when `stop_at` is done; exit code and what it told."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "gateusher", "replay", *words, cwd=ROOT, env={**os.environ, "COLUMNS": "300"},
+        stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE)
+    try:
+        if stop_at:
+            await asyncio.wait_for(stop_at, HANG_S)
+            process.send_signal(signal.SIGINT)
+        _, told = await asyncio.wait_for(process.communicate(), HANG_S)
+    finally:
+        if process.returncode is None:
+            process.kill()
+    assert process.returncode is not None
+    assert "Traceback" not in told.decode()
+    return process.returncode, told.decode()
+
+
+def read(folder: Path) -> dict[str, Any]:
+    data: dict[str, Any] = json.loads((folder / "report.json").read_text())
+    return data
+
+
+def test_a_log_is_played_once_by_two_workers_and_reported(tmp_path: Path) -> None:
+    async def test() -> None:
+        fleet = Fleet()
+        node = Node(fleet)
+        await node.start()
+        log, rules = files(tmp_path, 90)
+        with log.open("a") as more:
+            more.write('1770703201.000 10.0.0.1 "GET /<script>/x HTTP/1.1" 200\nno line\n')
+        out = tmp_path / "out"
+        _, told = await replay(str(log), "--target", f"127.0.0.1:{node.port}", "--rules", str(rules),
+                               "--format", FORM, "--workers", "2", "--copies", "2", "--shift", "0.2",
+                               "--report", str(out), "--trace", "--run", "test1")
+        data = read(out)
+        assert data["results"]["outcomes"]["served"] == data["results"]["sent"] == 180
+        assert fleet.effects == {f"replay-test1-{i}": 1 for i in range(180)}
+        assert data["results"]["clients"] == 14
+        assert [c["requests"] for c in data["results"]["classes"].values()] == [60, 60, 60]
+        assert (data["read"]["dropped"], data["read"]["unmatched"], data["read"]["faults"]) == (2, 1, 1)
+        assert sum(data["results"]["planned_by_second"]) == sum(data["results"]["sent_by_second"]) == 180
+        traced = [json.loads(line) for w in (0, 1) for line in (out / f"sends-{w}.jsonl").open()]
+        assert sorted(row[0] for row in traced) == list(range(180))
+        assert all(row[2] >= row[1] for row in traced)      # sent no earlier than planned
+        page = (out / "report.html").read_text()
+        assert "GET /&lt;script&gt;/x" in page and "<script" not in page
+        assert "http://" not in page.replace("http://www.w3.org/", "")     # it needs no network
+        assert "no line" not in told and "a.log:92: line has not the form" in told
+        node.kill()
+    run(test())
+
+
+def test_a_run_that_is_interrupted_ends_with_its_report_and_goes_on_where_it_was(tmp_path: Path) -> None:
+    async def test() -> None:
+        fleet = Fleet()
+        node = Node(fleet)
+        await node.start()
+        log, rules = files(tmp_path, 300, rate=100.0)
+        out = tmp_path / "out"
+        words = ("--target", f"127.0.0.1:{node.port}", "--report", str(out))
+        first = asyncio.ensure_future(fleet.arrival("replay-test1-40"))
+        code, told = await replay(str(log), *words, "--rules", str(rules), "--format", FORM, "--workers", "2",
+                                  "--run", "test1", stop_at=first)
+        assert code == 1 and "interrupted" in told
+        before = read(out)
+        assert 40 < before["results"]["requests"] < 300 and before["run"]["stopped"] == "interrupted"
+        assert len(fleet.attempts) == before["results"]["sent"]
+        code, told = await replay("--resume", str(out), *words[:2], "--format", FORM)
+        after = read(out)
+        assert after["run"]["run"] == "test1" and not after["run"]["stopped"]
+        assert before["results"]["requests"] + after["results"]["requests"] == 300
+        assert fleet.attempts == {f"replay-test1-{i}": 1 for i in range(300)}
+        assert not (out / "stopped.json").exists()
+        node.kill()
+    run(test())
+
+
+def test_no_stand_in_no_replay(tmp_path: Path) -> None:
+    async def test() -> None:
+        log, rules = files(tmp_path)
+        async with impostor("mirror") as (made, where):
+            code, told = await replay(str(log), "--target", "{}:{}".format(*where), "--rules", str(rules),
+                                      "--format", FORM)
+            assert code == 2 and "no stand-in" in told and "nothing was sent" in told
+            assert not made.asked
+    run(test())
+
+
+@pytest.mark.parametrize(("words", "says"), [
+    (["--target", "stand-in:80"], "--target"), (["--zone", "Taipei"], "--zone"), (["--format", "web"], "no format"),
+    (["--from", "morning"], "--from"), (["--from", "2026-02-10T06:00Z", "--to", "2026-02-10T05:00Z"], "--to"),
+    (["--run", "X"], "--run"), (["--rules", "none.toml"], "rules"), (["--resume", "none"], "--resume"),
+    (["--strict"], "a.log:61"), (["--allow", "none"], "--allow")])
+def test_what_can_t_be_played_is_told_and_exits_with_2(words: list[str], says: str, tmp_path: Path,
+                                                      capsys: pytest.CaptureFixture[str]) -> None:
+    log, rules = files(tmp_path)
+    log.write_text(log.read_text() + "no line\n")
+    usual = {"--target": "{}:{}".format(*unused()), "--rules": str(rules), "--format": FORM}
+    usual = {k: v for k, v in usual.items() if k not in words}
+    if "--strict" in words:   # met when the run has begun, so there would have to be somebody to play to
+        assert command(["inspect", str(log), "--format", FORM, *words]) == 2
+    else:
+        assert command(["replay", str(log), *words, *[w for pair in usual.items() for w in pair]]) == 2
+    told = capsys.readouterr().err
+    assert says in told and "Traceback" not in told
+
+
+def test_inspect_says_what_is_in_a_source(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    log, rules = files(tmp_path, 90)
+    assert command(["inspect", str(log), "--format", FORM, "--rules", str(rules), "--json"]) == 0
+    data = json.loads(capsys.readouterr().out)
+    assert (data["found"]["entries"], data["found"]["clients"], data["found"]["span_s"]) == (90, 7, 0.89)
+    assert data["read"]["classes"] == {"look": 30, "issue": 30, "book": 30}
+    assert command(["inspect", str(log), "--format", FORM]) == 0
+    assert "GET /pallets/{}" in capsys.readouterr().out
+    assert command(["inspect", str(tmp_path / "none.log")]) == 2
+
+
+def test_a_report_of_nothing_is_a_report(tmp_path: Path) -> None:
+    from gateusher.load.results import Recorder, summary  # noqa: PLC0415
+
+    data = {"run": {"run": "a", "target": "t", "speed": 1.0, "copies": 1, "workers": 1, "stopped": "at once",
+                    "reached_s": 0.0}, "read": {
+                        "sources": [], "records": 0, "played": 0, "dropped": 0, "dropped_share": 0.0, "unmatched": 0,
+                        "unmatched_patterns": {}, "faults": 0, "faults_by_reason": [], "first_faults": []},
+            "results": summary(Recorder(1), ["$x_{1}$"])}
+    assert "at once" in report.html(data)
