--- a/gateusher/load/player.py
+++ b/gateusher/load/player.py
@@ -24,6 +24,9 @@
 from .wire import Outcome, Wire, outcome_of
 
 EVERY_S = 1.0          # the target is challenged so often while the run lasts
+EARLY_S = 0.0001       # the alarm rings so long before a request's time: waking up takes half of it
+NEAR_S = 0.0003        # one that is due so soon is waited for without going back to the loop
+TURN_S = 0.002         # and no turn lasts longer than that
 CONNECT_S = 2.0        # how long a connection may take to come up
 MOST_ANSWER = 64 << 20  # bytes of an answer; a longer one ends its connection
 
@@ -85,14 +88,21 @@
 
     def offer(self, planned: Planned) -> None:
         heapq.heappush(self._todo, (planned.at, planned.number, planned))
-        if not self.stopped and (not self._alarm.at or self._alarm.at > self.start + planned.at):
-            self._alarm.set(self.start + planned.at)
+        due = self.start + planned.at - EARLY_S
+        if not self.stopped and (not self._alarm.at or self._alarm.at > due):
+            self._alarm.set(due)
 
     def _due(self) -> None:
         """All whose time has come; the alarm follows the next one."""
-        now = self.now()
+        now = began = self.now()
         todo = self._todo
-        while todo and todo[0][0] <= now and not self.stopped:
+        while todo and not self.stopped:
+            left = todo[0][0] - now
+            if left > 0:
+                if left > NEAR_S or now - began > TURN_S:
+                    break
+                now = self.now()
+                continue    # so near that a turn of the loop would be late: what waits there is an answer, not a send
             _, _, planned = heapq.heappop(todo)
             self.taken = planned.number
             self.recorder.planned(planned)
@@ -102,8 +112,9 @@
                 continue
             self.open += 1
             self._perform(self.pacer.handle(now, Due(planned)))
+            now = self.now()
         if todo and not self.stopped:
-            self._alarm.set(self.start + todo[0][0])
+            self._alarm.set(self.start + todo[0][0] - EARLY_S)
         self._check()
 
     def finish(self) -> None:
