--- a/gateusher/policy/brain.py
+++ b/gateusher/policy/brain.py
@@ -294,7 +294,7 @@
         if work.home:
             return self._pick_home(work, work.home)
         best, least, homes = None, 1e18, self._homes(work.key)
-        for server in homes + self._earned() + (self._draw() or self._draw()):
+        for server in homes + (self._earned() if self.cold else []) + (self._draw() or self._draw()):
             if server in tried or not self._usable(server, cls):
                 continue
             score = self._score(server, cls) * (WARM if server in homes else 1.0) * (1.0 + 1e-6 * self.rnd())
@@ -324,7 +324,7 @@
         cold, now, stale = self.cold, self.now, False
         found: list[Server] = []
         n = len(cold)
-        first = int(self.rnd() * n) if n else 0
+        first = int(self.rnd() * n)
         for i in range(min(n, LOOKED_AT)):
             server = cold[(first + i) % n]
             if not server.ready or server.warm_at <= now:
