A real Chromium's page is read and played again; two milliseconds of overlap are none

Times in HAR files are milliseconds of one clock and durations of another: a request that followed the one before it looked parallel to it (seen with Chromium), and got a connection of its own.

--- a/gateusher/load/plan.py
+++ b/gateusher/load/plan.py
@@ -14,6 +14,7 @@
 
 from .rules import Mapped
 
+ROUNDING_S = 0.002        # times are written in milliseconds: so much overlap is none (seen with Chromium's)
 MOST_CLIENTS = 200_000    # whose connections are remembered; of more, the longest silent are forgotten
 
 
@@ -73,9 +74,9 @@
         else:
             self._ends.move_to_end(client)
         for lane, end in enumerate(ends):
-            if end <= at:
-                ends[lane] = at + took
-                return lane, at - end
+            if end <= at + ROUNDING_S:
+                ends[lane] = max(end, at + took)
+                return lane, max(0.0, at - end)
         ends.append(at + took)
         return len(ends) - 1, -1.0
 
--- a/tests/load/test_plan.py
+++ b/tests/load/test_plan.py
@@ -117,6 +117,7 @@
     assert [lanes.place(1, at, 1.0) for at in (0.0, 0.5, 0.75, 1.25, 9.0)] == [
         (0, -1.0), (1, -1.0), (2, -1.0), (0, 0.25), (0, 6.75)]
     assert lanes.place(1, 9.5, -1.0) == (-1, -1.0)
+    assert lanes.place(1, 9.999, 0.5) == (0, 0.0)     # a millisecond of overlap is the rounding of its time
     few = Lanes(most=2)
     for client in range(5):
         few.place(client, 0.0, 1.0)
