--- a/tests/load/test_player.py
+++ b/tests/load/test_player.py
@@ -16,7 +16,7 @@
 from gateusher.load.results import Recorder
 from gateusher.load.rules import Mapper
 from gateusher.load.wire import Outcome, Wire
-from gateusher.standins.nodes import Fleet, Node, NotRun
+from gateusher.standins.nodes import Fleet, Node, NotRun, Stall
 
 from ..test_sockets import run
 from .target import RULES, impostor
@@ -178,14 +178,32 @@
     run(test())
 
 
-def test_a_stop_lets_what_is_out_end_and_sends_nothing_more() -> None:
+def test_a_machine_that_pauses_sends_late_and_once_and_says_so() -> None:
     async def test() -> None:
         fleet = Fleet()
         node = Node(fleet)
         await node.start()
-        hold = fleet.hold("replay-test1-0")
-        from gateusher.standins.nodes import Stall  # noqa: PLC0415
+        player = Player(("127.0.0.1", node.port), wire(), Recorder(3), time.monotonic(), True, 100)
+        await player.prove()
+        for i in range(100):
+            player.offer(item(i, i % 3, client=i, at=0.002 * i))
+        player.finish()
+        await fleet.arrival("replay-test1-10")
+        time.sleep(0.3)       # the loop's own thread: nothing is sent meanwhile
+        await player.ended()
+        assert fleet.attempts == {f"replay-test1-{i}": 1 for i in range(100)}
+        assert outcomes(player) == {"SERVED": 100}
+        assert "fell behind" in player.recorder.fell_behind()
+        assert 0.1 < player.recorder.most_late_s
+        node.kill()
+    run(test())
 
+
+def test_a_stop_lets_what_is_out_end_and_sends_nothing_more() -> None:
+    async def test() -> None:
+        fleet = Fleet()
+        node = Node(fleet)
+        await node.start()
         fleet.tell("replay-test1-0", Stall())
         player = Player(("127.0.0.1", node.port), wire(), Recorder(3), time.monotonic(), True, 100)
         await player.prove()
@@ -198,6 +216,5 @@
         assert outcomes(player) == {"SERVED": 1, "STOPPED": 1}
         assert fleet.attempts == {"replay-test1-0": 1}
         assert player.taken == 1
-        assert hold
         node.kill()
     run(test())
