--- a/gateusher/cli/replay.py
+++ b/gateusher/cli/replay.py
@@ -139,6 +139,8 @@
     except NoStandInError as error:
         raise UnplayableError(f"--allow: {error}") from None
     folder = wanted.folder or wanted.resume
+    if wanted.trace and not folder:
+        raise UnplayableError("--trace: its lines go beside the report, so --report is wanted too")
     return Options(target, pace, run, proven, state.get("workers", wanted.workers), wanted.connections,
                    Path(folder) if folder else None, wanted.trace, state.get("taken", []),
                    state.get("reached_s", 0.0))
--- a/gateusher/load/inside.py
+++ b/gateusher/load/inside.py
@@ -115,9 +115,10 @@
                 self._planned.append(planned)
                 if len(self._planned) >= AHEAD:
                     self._room.clear()
-        except (OSError, SourceError) as error:
+        except Exception as error:  # noqa: BLE001 - whatever a source does, the daemon's own traffic goes on
             say("load", error)
-        self._whole = True
+        finally:
+            self._whole = True
 
     def _step(self) -> None:
         now = time.monotonic() - self._start
@@ -152,7 +153,9 @@
 
     def _perform(self, actions: list[Go | Close | Late]) -> None:
         for action in actions:
-            if isinstance(action, Go):
+            if isinstance(action, Go) and self._ending:
+                self.concluded(action, Outcome.STOPPED, -1.0)
+            elif isinstance(action, Go):
                 self._send(action)
             elif isinstance(action, Late):
                 self.open -= 1
--- a/tests/load/test_command.py
+++ b/tests/load/test_command.py
@@ -113,7 +113,7 @@
     (["--target", "stand-in:80"], "--target"), (["--zone", "Taipei"], "--zone"), (["--format", "web"], "no format"),
     (["--from", "morning"], "--from"), (["--from", "2026-02-10T06:00Z", "--to", "2026-02-10T05:00Z"], "--to"),
     (["--run", "X"], "--run"), (["--rules", "none.toml"], "rules"), (["--resume", "none"], "--resume"),
-    (["--strict"], "a.log:61"), (["--allow", "none"], "--allow")])
+    (["--strict"], "a.log:61"), (["--trace"], "--report"), (["--allow", "none"], "--allow")])
 def test_what_can_t_be_played_is_told_and_exits_with_2(words: list[str], says: str, tmp_path: Path,
                                                       capsys: pytest.CaptureFixture[str]) -> None:
     log, rules = files(tmp_path)
