--- a/gateusher/cli/replay.py
+++ b/gateusher/cli/replay.py
@@ -131,9 +131,9 @@
     begin, end = instant(wanted.begin, "--from"), instant(wanted.end, "--to")
     if begin is not None and end is not None and end <= begin:
         raise UnplayableError("--to: later than --from")
-    pace = Pace(wanted.speed, wanted.copies, wanted.shift, wanted.seed, begin, end)
+    pace = Pace(wanted.speed, wanted.copies, wanted.shift, wanted.seed, begin)
     if state:
-        pace = Pace(**state["pace"])
+        pace, end = Pace(**state["pace"]), state.get("end")
     try:
         proven = not (wanted.allow and allowed(Path(wanted.allow), target))
     except NoStandInError as error:
@@ -143,7 +143,7 @@
         raise UnplayableError("--trace: its lines go beside the report, so --report is wanted too")
     return Options(target, pace, run, proven, state.get("workers", wanted.workers), wanted.connections,
                    Path(folder) if folder else None, wanted.trace, state.get("taken", []),
-                   state.get("reached_s", 0.0))
+                   state.get("reached_s", 0.0), end)
 
 
 def _replay(wanted: Wanted, told: Console) -> int:
@@ -169,7 +169,7 @@
             except OSError as error:
                 raise UnplayableError(f"--report {options.folder}: {error.strerror}") from None
         reading = Reading(sources, rules.Mapper(mapping, state.get("salt", "")), Faults(rest, wanted.strict),
-                          options.pace.seed)
+                          options.pace.seed, options.pace.begin, options.end)
         ended = _played(reading, mapping, options, stack)
         data = {"run": {"run": options.run, "target": wanted.target, "speed": options.pace.speed,
                         "copies": options.pace.copies, "workers": options.workers, "stopped": ended.stopped,
@@ -223,7 +223,7 @@
     what = ", ".join(f"{count} {re.sub('_', ' ', name)}" for name, count in results["outcomes"].items() if count)
     told.print(f"{results['sent']} of {results['requests']} requests sent: {what or 'nothing'}", markup=False)
     told.print(f"{read['dropped']} of {read['records']} records not played ({100 * read['dropped_share']:.2f}%): "
-               f"{read['faults']} with faults, {read['unmatched']} that no rule names, the rest never sent or "
-               f"outside of the time asked for", markup=False)
+               f"{read['faults']} with faults, {read['unmatched']} that no rule names, {read['outside']} before "
+               f"--from, the rest never sent", markup=False)
     for fault in read["first_faults"]:
         told.print("  {file}:{line}: {field} {reason}".format(**fault), markup=False)
--- a/gateusher/load/plan.py
+++ b/gateusher/load/plan.py
@@ -39,7 +39,7 @@
     :param speed: so many seconds of the source in one of the run.
     :param copies: each client so many times, each copy with other ids and a shift of its own.
     :param shift_s: a copy's shift is drawn from 0 to this, in seconds of the source.
-    :param begin, end: Unix times between which the source is played; None for all.
+    :param begin: the Unix time with which the run begins; None for that of the first request.
     """
 
     speed: float = 1.0
@@ -47,7 +47,6 @@
     shift_s: float = 5.0
     seed: int = 1
     begin: float | None = None
-    end: float | None = None
 
 
 class Lanes:
@@ -114,10 +113,6 @@
 
     for request in requests:
         entry = request.entry
-        if pace.begin is not None and entry.at < pace.begin:
-            continue
-        if pace.end is not None and entry.at >= pace.end:
-            break      # they are in order
         if start is None:
             start = entry.at
         lane, think = lanes.place(request.client, entry.at, entry.took)
--- a/gateusher/load/run.py
+++ b/gateusher/load/run.py
@@ -47,8 +47,11 @@
 class Reading:
     """The sources as one stream of mapped requests, with everything that was odd about them counted."""
 
-    def __init__(self, sources: list[Source], mapper: Mapper, faults: Faults, seed: int) -> None:
+    def __init__(self, sources: list[Source], mapper: Mapper, faults: Faults, seed: int, begin: float | None = None,
+                 end: float | None = None) -> None:
         self.sources, self.mapper, self.faults, self._seed = sources, mapper, faults, seed
+        self._begin, self._end = begin, end
+        self.outside = 0            # ahead of `begin`; what comes from `end` on is not read
         self.steps = [Steps() for _ in sources]
         self.first_at = self.last_at = 0.0
         self.played = 0
@@ -69,6 +72,11 @@
     def requests(self) -> Iterator[Mapped]:
         for i, entry in self.entries():
             name = self.sources[i].name
+            if self._end is not None and entry.at >= self._end:
+                return      # they are in order
+            if self._begin is not None and entry.at < self._begin:
+                self.outside += 1
+                continue
             try:
                 mapped = self.mapper.map(entry, name)
             except FaultyError as error:
@@ -93,7 +101,7 @@
                          "whole_seconds_spread": t.spread, "late_lines": t.late, "clock_set_back": t.back,
                          "most_set_back_s": round(t.most_back_s, 3)}
                         for s, c, t in zip(self.sources, counts, self.steps, strict=True)],
-            "records": total, "played": self.played, "dropped": dropped,
+            "records": total, "played": self.played, "dropped": dropped, "outside": self.outside,
             "dropped_share": round(dropped / total, 6) if total else 0.0, "unmatched": unmatched,
             "unmatched_patterns": dict(self.mapper.unmatched.most_common(20)),
             "faults": self.faults.count,
@@ -124,6 +132,7 @@
     trace: bool = False
     after: list[int] = field(default_factory=list)   # resumed: by worker, the last number that it had taken
     resumed_at: float = 0.0
+    end: float | None = None          # the Unix time of the source with which the run ends
 
 
 @dataclass
@@ -366,7 +375,7 @@
     """What a resumed run needs; written whole or not at all."""
     data = {"run": options.run, "salt": salt, "workers": options.workers, "taken": ended.taken,
             "reached_s": ended.reached_s, "rules": rules, "sources": list(sources),
-            "pace": msgspec.to_builtins(options.pace)}
+            "pace": msgspec.to_builtins(options.pace), "end": options.end}
     new = path.with_suffix(".new")
     new.write_text(json.dumps(data))
     new.replace(path)
--- a/tests/load/test_command.py
+++ b/tests/load/test_command.py
@@ -12,11 +12,17 @@
 
 from gateusher.cli.commands import command
 from gateusher.load import report
+from gateusher.load.entry import Faults
+from gateusher.load.rules import Mapper
+from gateusher.load.rules import load as load_rules
+from gateusher.load.run import Reading
+from gateusher.load.sources.files import Source
 from gateusher.standins.nodes import Fleet, Node
 
 from ..helpers import HANG_S
 from ..net import unused
 from ..test_sockets import ROOT, run
+from .lines import T0
 from .target import FORM, files, impostor
 
 
@@ -134,6 +140,9 @@
     data = json.loads(capsys.readouterr().out)
     assert (data["found"]["entries"], data["found"]["clients"], data["found"]["span_s"]) == (90, 7, 0.89)
     assert data["read"]["classes"] == {"look": 30, "issue": 30, "book": 30}
+    reading = Reading([Source(log, FORM)], Mapper(load_rules(rules)), Faults(), 1, T0 + 0.2, T0 + 0.5)
+    assert [m.entry.line for m in reading.requests()] == list(range(21, 51))
+    assert (reading.summary()["outside"], reading.summary()["played"]) == (20, 30)
     assert command(["inspect", str(log), "--format", FORM]) == 0
     assert "GET /pallets/{}" in capsys.readouterr().out
     assert command(["inspect", str(tmp_path / "none.log")]) == 2
