--- a/gateusher/load/results.py
+++ b/gateusher/load/results.py
@@ -178,7 +178,8 @@
 
     def deciles(self) -> list[dict[str, Any]]:
         """Clients in ten groups of equal number, the busiest first, and what became of their requests."""
-        rows = sorted((row for who, row in self.clients.items() if who != OTHERS), reverse=True)
+        # Clients of one size in the order of their hashes: by outcome, luck would look like a tenth of its own.
+        rows = [row for who, row in sorted(self.clients.items(), key=lambda c: (-c[1][0], c[0])) if who != OTHERS]
         out = []
         for i in range(10):
             part = rows[len(rows) * i // 10:len(rows) * (i + 1) // 10]
