A worker's part is said in one place; a field that nothing reads is gone

The split of clients over workers stood in plan.share, which only a test called, and once more in run.Replay. No behaviour changes.

--- a/gateusher/load/plan.py
+++ b/gateusher/load/plan.py
@@ -140,6 +140,6 @@
         yield given(heapq.heappop(heap)[2])
 
 
-def share(items: Iterable[Planned], worker: int, workers: int) -> Iterator[Planned]:
-    """One worker's part: whole clients, so that the order within each is one worker's doing."""
-    return (item for item in items if item.client % workers == worker)
+def worker_of(planned: Planned, workers: int) -> int:
+    """Which worker plays it: whole clients, so that the order within each is one worker's doing."""
+    return planned.client % workers
--- a/gateusher/load/run.py
+++ b/gateusher/load/run.py
@@ -29,7 +29,7 @@
 from . import challenge
 from .challenge import NoStandInError
 from .entry import Entry, Fault, Faults, FaultyError, StrictError
-from .plan import Pace, Planned, plan
+from .plan import Pace, Planned, plan, worker_of
 from .player import Player
 from .results import Recorder
 from .rules import Mapped, Mapper, Mapping
@@ -199,7 +199,7 @@
             for planned in plan(self._reading.requests(), options.pace):
                 if self._stopping.is_set():
                     break
-                worker = planned.client % len(ends)
+                worker = worker_of(planned, len(ends))
                 if planned.number <= after[worker]:
                     continue
                 if not begun:
--- a/gateusher/load/sources/formats.py
+++ b/gateusher/load/sources/formats.py
@@ -83,7 +83,6 @@
     at_end: bool = False
     plus: bool = False             # W3C: spaces are written as `+`
     _index: dict[str, int] = field(default_factory=dict)
-    quick: bool = False
 
     def __post_init__(self) -> None:
         self._index = {name: i for i, name in enumerate(self.fields)}
--- a/tests/load/test_plan.py
+++ b/tests/load/test_plan.py
@@ -8,7 +8,7 @@
 
 from gateusher.load import rules
 from gateusher.load.entry import Entry, FaultyError
-from gateusher.load.plan import Lanes, Pace, copy_of, plan, share, shift_of
+from gateusher.load.plan import Lanes, Pace, copy_of, plan, shift_of, worker_of
 from gateusher.load.rules import Mapped, Mapper, RulesError
 
 SAFE = {"effect": "safe", "aim": 0.5, "deadline": 1.0}
@@ -126,6 +126,6 @@
 
 def test_workers_share_whole_clients() -> None:
     items = list(plan([m for c in range(40) for m in asked(0.0, client=c)], Pace()))
-    parts = [list(share(items, w, 3)) for w in range(3)]
+    parts = [[item for item in items if worker_of(item, 3) == w] for w in range(3)]
     assert sorted(i.number for part in parts for i in part) == list(range(40))
     assert not {i.client for i in parts[0]} & {i.client for i in parts[1]}
