Members: a SWIM machine with Lifeguard, its sealed datagrams, and gateusher members

Ruled out: acks of proof larger than questions (amplification), whole tables with failed members in the digest (none could be forgotten).

--- a/checker/state.py
+++ b/checker/state.py
@@ -20,7 +20,7 @@
 from gateusher.upstream.http import SETTLE_MS, Connection
 from gateusher.upstream.interface import Attempt
 
-from .loop import Transport
+from gateusher.virtual.loop import Transport
 from .properties import GRACE_S
 from .story import Ask, Sent
 from .world import World
--- a/checker/story.py
+++ b/checker/story.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from gateusher.client import Settled
 
-    from .loop import Transport
+    from gateusher.virtual.loop import Transport
 
 
 @dataclass
--- a/checker/world.py
+++ b/checker/world.py
@@ -35,7 +35,7 @@
 from . import properties
 from .answers import CALM, EARLY, EARLY_LAST, ERROR, NOISE, NOT_RUN, OK, SORTS, Made, make
 from .chooser import Chooser, Draws
-from .loop import Dial, InOrder, Select, Sockets, Transport, VirtualLoop
+from gateusher.virtual.loop import Dial, InOrder, Select, Sockets, Transport, VirtualLoop
 from .story import Ask, Sent, Story
 
 RID = re.compile(rb"X-Ask: (\S+)", re.I)
--- a/gateusher/cli/commands.py
+++ b/gateusher/cli/commands.py
@@ -109,14 +109,34 @@
     return command(sources, rules_file, form, zone, strict, as_json)
 
 
+@gateusher.command()
+@click.option("--config", metavar="FILE.toml", help="of the sidecar that is asked; it names its control socket")
+@click.option("--at", metavar="PATH|IP:PORT", help="its control socket or admin address")
+@click.option("--json", "as_json", is_flag=True, help="print one JSON object")
+@click.option("--watch", is_flag=True, help="a live table, until ctrl-C")
+def members(config: str | None, at: str | None, as_json: bool, watch: bool) -> int:
+    """Who a running sidecar holds for there: states, doubts, what it sends and drops."""
+    from .members import members as command  # noqa: PLC0415
+
+    return command(config, at, as_json, watch)
+
+
 def command(words: Sequence[str]) -> int:
-    """Run one command; its exit code."""
+    """Run one command; its exit code.  One whose extra is not installed says which it needs: 2."""
     try:
         code = gateusher.main(args=list(words), prog_name="gateusher", standalone_mode=False)
     except click.exceptions.Exit as end:
         return end.exit_code
     except click.Abort:
         return 130
+    except ModuleNotFoundError as error:
+        from .extras import extra_of  # noqa: PLC0415
+
+        extra = extra_of(error.name or "")
+        if extra is None:
+            raise
+        print(f"gateusher: {error.name} is not installed: pip install 'gateusher[{extra}]'", file=sys.stderr)
+        return 2
     except click.ClickException as error:
         error.show(sys.stderr)
         return error.exit_code
--- a/gateusher/config/file.py
+++ b/gateusher/config/file.py
@@ -16,6 +16,7 @@
 from msgspec import Meta, Struct, field
 
 from ..policy.interface import ClassSettings, Effect, Scope, Settings
+from . import membership
 from .model import APPLICATION, OK_ONLY, Config, ConfigError, Names, address, usual_methods
 
 Seconds = Annotated[float, Meta(gt=0, le=86400)]
@@ -109,6 +110,7 @@
     name: Name = "gateusher"
     listen: str | None = None           # the daemon's; the library needs none
     admin: str | None = None            # the operators' own address: ready, lameduck
+    control: Annotated[str, Meta(min_length=1, max_length=4096)] | None = None  # the same on a Unix socket, mode 0600
     authority: Name = "origin.svc"      # Host where the library's caller or an HTTP/1.0 client brings none
     zone: str = ""                      # where this process runs
     zones: list[str] = field(default_factory=list)
@@ -123,6 +125,7 @@
     log: Log = field(default_factory=Log)
     rehearsal: Rehearsal | None = None
     load: list[Load] = field(default_factory=list)
+    membership: membership.Table | None = None
 
 
 REPORT_NAMES = {"queue": "waiting", "inflight": "active", "util": "cpu", "latency_ms": "avg_ms", "qps": "rps",
@@ -223,6 +226,8 @@
     _address(_table(data.get("discovery")).get("address"), "discovery.address", faults)
     if data.get("load") and "rehearsal" not in data:
         faults.append("load: only a daemon with a [rehearsal] table plays one, since its nodes are stand-ins then")
+    if isinstance(table := data.get("membership"), dict):
+        membership.faults_of(table, data.get("name", "gateusher"), faults, _address)
     _address(data.get("listen"), "listen", faults)
     _address(data.get("admin"), "admin", faults)
 
@@ -270,7 +275,8 @@
         serves=APPLICATION if file.answers == "application" else OK_ONLY, authority=file.authority,
         margin_s=limits.margin, drain_s=limits.drain, admin=address(file.admin) if file.admin else None,
         log=file.log.format, rehearsal_ms=file.rehearsal.every * 1000 if file.rehearsal else 0.0,
-        loads=tuple(file.load))
+        loads=tuple(file.load), control=file.control,
+        membership=membership.settings(file.membership, file.name) if file.membership else None)
 
 
 def load(path: str) -> Config:
--- a/gateusher/config/model.py
+++ b/gateusher/config/model.py
@@ -4,10 +4,13 @@
 
 import socket
 from hashlib import blake2b
-from typing import Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from ..policy.interface import Effect, Settings
 
+if TYPE_CHECKING:
+    from .membership import Membership
+
 OK_ONLY = frozenset({200})
 # Outside the platform a node's 4xx is an answer like another; 5xx are failures that may have run.
 APPLICATION = frozenset(range(200, 500))
@@ -58,6 +61,8 @@
     log: str = "text"                       # how its lines are written: "text" or "json"
     rehearsal_ms: float = 0.0               # nodes have to prove so often that they are stand-ins; 0: they needn't
     loads: tuple[Any, ...] = ()             # sources that it plays by itself (`config.file.Load`)
+    control: str | None = None              # the operators' Unix socket; None: there is none
+    membership: Membership | None = None    # who the other sidecars are; None: it knows of none
 
 
 def address(text: object) -> tuple[str, int]:
--- a/gateusher/daemon.py
+++ b/gateusher/daemon.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import socket
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
+from .base.log import say
 from .config.model import Config
 from .handover.channel import Inherited
 from .handover.succession import Succession
@@ -15,12 +18,34 @@
 
 if TYPE_CHECKING:
     from .load.inside import Inside
+    from .membership.udp import Endpoint
 
 DRAIN_STEP_S = 0.02
 GIVE_UP_S = 0.2     # after the end of the drain, for what is written to be read
 HEAR_S = 0.5        # how long a successor waits for the list before it serves by the one that it was given
 
 
+class _Door:
+    """What changes hands in an upgrade: the clients' door, and with it this process's place among the members."""
+
+    def __init__(self, sidecar: Sidecar) -> None:
+        self._sidecar = sidecar
+
+    @property
+    def door(self) -> socket.socket | None:
+        return self._sidecar.server.door
+
+    def hand_over(self) -> None:
+        self._sidecar.server.hand_over()
+        if self._sidecar.members:
+            self._sidecar.members.pause()
+
+    def reclaim(self) -> None:
+        self._sidecar.server.reclaim()
+        if self._sidecar.members:
+            self._sidecar.members.resume()
+
+
 class Sidecar:
     """Serves from the moment it is made, or from `start` on with what it has inherited.
 
@@ -44,8 +69,13 @@
             raise
         self.admin = Admin({(b"GET", b"/_ready"): lambda: self.server.ready,
                             (b"PUT", b"/_lameduck/on"): self.server.send_away,
-                            (b"PUT", b"/_lameduck/off"): self.server.take_back})
-        self.succession = Succession(config.sockets, config.memory_mb, self.server, self.node.hold,
+                            (b"PUT", b"/_lameduck/off"): self.server.take_back}, {b"/_members": self._members})
+        self.members: Endpoint | None = None
+        if config.membership:
+            from .membership.udp import Endpoint  # noqa: PLC0415 - the platform's daemon has none
+
+            self.members = Endpoint(config.membership, self.node.clock)
+        self.succession = Succession(config.sockets, config.memory_mb, _Door(self), self.node.hold,
                                      lambda: self.node.descriptors.held)
         self.server.proves = self.node.gate is not None
         self.loads: list[Inside] = []
@@ -57,6 +87,10 @@
         """Open the operators' address, where there is one, and take over.  Raises OSError where it can't listen."""
         if self.node.config.admin:
             await self.admin.start(self.node.config.admin)
+        if self.node.config.control:
+            await self.admin.start_local(self.node.config.control)
+        if self.members:
+            self.members.open(patient=self._inherited is not None)
         if self._inherited:
             self.succession.inherit(self._inherited)
             # Clients lose nothing meanwhile, and the list that was handed in may be as old as the old process.
@@ -76,6 +110,9 @@
             for load in self.loads:
                 load.start()
 
+    def _members(self) -> bytes:
+        return json.dumps(self.members.report() if self.members else None).encode()
+
     def _sweep(self) -> None:
         self.server.sweep()
         self.succession.tick()
@@ -86,6 +123,10 @@
         self.config = config
         self.node.follow(config)
         self.server.rename(self.node.names, self.node.classes.former)
+        if self.members and config.membership:
+            self.members.follow(config.membership)
+        elif self.members or config.membership:
+            say("membership", "begins or ends at the next start, not by a reload")
 
     def drain(self) -> None:
         """Begin the planned end; `ended` is set when nothing is in hand, in time before the kill."""
@@ -96,6 +137,8 @@
             for load in self.loads:
                 load.close()
             self.succession.ending()
+            if self.members:
+                self.members.leave()
             self.server.drain(end_s)
             self._drain_step()
 
@@ -111,6 +154,8 @@
         for load in self.loads:
             load.close()
         self.admin.close()
+        if self.members:
+            self.members.close()
         self.server.close()
         self.node.close()
         self.succession.close()  # last: the successor takes all of the budget when this ends
--- /dev/null
+++ b/gateusher/membership/udp.py
@@ -0,0 +1,188 @@
+"""The machine of members on a real socket and a running loop: translates and decides nothing."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import socket
+import struct
+import time
+from collections import Counter
+from collections.abc import Callable
+
+from ..base.clock import Clock
+from ..base.log import say
+from ..config.membership import Membership
+from .interface import Action, Changed, Event, Heard, Leave, Received, Rekey, Repeer, Say, Send, State, Tick, Told
+from .machine import Members
+from .wire import MOST_DATAGRAM
+
+AT_A_TIME = 64        # datagrams read in one turn of the loop: requests come between
+BIND_STEP_S = 0.05    # between two tries to get the address from the process before
+LONGEST_S = 3600.0
+
+Listener = Callable[[Changed | Heard], None]
+
+
+class Endpoint:
+    """One sidecar's part among the members, from `open` until `close`.  Raises OSError where it can't listen.
+
+    This is the port through which other pieces speak and hear: `say` spreads a few bytes, `listeners` are called with
+    each change of a member and each word of another's.
+    """
+
+    def __init__(self, settings: Membership, clock: Clock) -> None:
+        self.settings, self._clock = settings, clock
+        self._loop = asyncio.get_running_loop()
+        self.listeners: list[Listener] = []
+        self._sock: socket.socket | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._opening: asyncio.TimerHandle | None = None
+        self.unsent: Counter[str] = Counter()     # datagrams that the kernel didn't take
+        self.received = 0
+        self._since = time.monotonic()
+        self.machine = self._begin()
+
+    def _begin(self) -> Members:
+        instance, seed = struct.unpack(">IQ", os.urandom(12))
+        return Members(self.settings, int(time.time() * 1000) << 16, instance or 1, seed, self._clock.now())
+
+    def open(self, patient: bool = False) -> None:
+        """Listen and begin; with `patient` try until whoever has the address lets it go."""
+        host, port = self.settings.listen
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC)
+        try:
+            sock.bind((host, port))
+        except OSError:
+            sock.close()
+            if not patient:
+                raise
+            self._opening = self._loop.call_later(BIND_STEP_S, self.open, True)
+            return
+        self._opening = None
+        self._sock = sock
+        self._loop.add_reader(sock, self._readable)
+        self.give(Tick())
+
+    # -- the port
+
+    def say(self, kind: int, data: bytes) -> None:
+        """Spread a word of at most 64 bytes to all members, best effort.  Raises ValueError for a longer one."""
+        self.give(Say(kind, data))
+
+    def follow(self, settings: Membership) -> None:
+        """Take up other keys and peers; name, address and times hold from the start on."""
+        if settings.keys != self.settings.keys:
+            self.give(Rekey(settings.keys))
+        if settings.peers != self.settings.peers:
+            self.give(Repeer(settings.peers))
+        fixed = self.settings._replace(keys=settings.keys, peers=settings.peers)
+        if fixed != settings:
+            say("membership", "other settings than keys and peers are taken up at the next start")
+        self.settings = fixed
+
+    def leave(self) -> None:
+        """Say that this process ends as planned."""
+        if self._sock:
+            self.give(Leave())
+
+    def pause(self) -> None:
+        """Let the address go, without a word: a successor takes it."""
+        self._shut()
+
+    def resume(self) -> None:
+        """Take the address back, as another life of the same name: a successor may have spoken meanwhile."""
+        if not self._sock and not self._opening:
+            self.machine = self._begin()
+            self.open(patient=True)
+
+    def close(self) -> None:
+        self._shut()
+        self.listeners.clear()
+
+    def _shut(self) -> None:
+        sock, self._sock = self._sock, None
+        if sock:
+            self._loop.remove_reader(sock)
+            sock.close()
+        for timer in (self._timer, self._opening):
+            if timer:
+                timer.cancel()
+        self._timer = self._opening = None
+
+    # -- in and out
+
+    def give(self, event: Event) -> None:
+        """One event, its actions, and the next call."""
+        if self._sock:
+            self._perform(self.machine.handle(self._clock.now(), event))
+            self._arm()
+
+    def _arm(self) -> None:
+        if self._timer:
+            self._timer.cancel()
+            self._timer = None
+        if self._sock:
+            wait = (self.machine.due - self._clock.now()) / 1000
+            self._timer = self._loop.call_later(min(LONGEST_S, max(0.001, wait)), self.give, Tick())
+
+    def _readable(self) -> None:
+        for _ in range(AT_A_TIME):
+            if not self._sock:
+                return
+            try:
+                data, source = self._sock.recvfrom(MOST_DATAGRAM + 1)
+            except (BlockingIOError, InterruptedError):
+                break
+            except OSError:   # what an earlier datagram of ours met; it was lost, and that is all
+                continue
+            self.received += 1
+            self._perform(self.machine.handle(self._clock.now(), Received((source[0], source[1]), data)))
+        self._arm()
+
+    def _perform(self, actions: list[Action]) -> None:
+        for action in actions:
+            if type(action) is Send:
+                self._send(action)
+            elif type(action) is Told:
+                say(action.what, action.why)
+            elif isinstance(action, Changed | Heard):
+                if type(action) is Changed:
+                    self._log(action)
+                for listener in self.listeners:
+                    listener(action)
+
+    def _send(self, action: Send) -> None:
+        if self._sock:
+            try:
+                self._sock.sendto(action.data, action.to)
+            except OSError as error:   # a full buffer, no route: the datagram is lost, as on any link
+                self.unsent[type(error).__name__] += 1
+
+    def _log(self, change: Changed) -> None:
+        if change.after is State.FAILED:
+            say("member failed", f"{change.name}, suspected first by {change.by}")
+        elif change.restarted and change.after is State.ALIVE:
+            say("member restarted", change.name)
+        elif change.after is State.ALIVE and change.before in (State.FAILED, State.LEFT):
+            say("member back", change.name)
+
+    # -- for operators
+
+    def report(self) -> dict[str, object]:
+        """All that `gateusher members` shows, as JSON can hold it; times are seconds."""
+        machine = self.machine
+        up_s = max(0.001, time.monotonic() - self._since)
+        members = [{"name": v.name, "state": "displaced" if i == 0 and machine.displaced else v.state.name.lower(),
+                    "address": "{}:{}".format(*v.address) if v.address else None, "incarnation": v.incarnation,
+                    "since_s": round(v.since_ms / 1000, 3),
+                    "heard_s": None if v.heard_ms is None else round(v.heard_ms / 1000, 3),
+                    "suspected_by": list(v.by), "health": v.health, "proven": v.proven}
+                   for i, v in enumerate(machine.views())]
+        return {"name": self.settings.name, "listening": self._sock is not None, "displaced": machine.displaced,
+                "health": machine.health, "there": machine.there + 1, "members": members,
+                "sent": {**machine.sent}, "received": self.received, "unsent": {**self.unsent},
+                "bytes_per_s": round(machine.sent["bytes"] / up_s, 1),
+                "datagrams_per_s": round(machine.sent["datagrams"] / up_s, 2), "drops": {**machine.drops},
+                "bound_bytes_per_s": self.settings.bytes_per_s}
--- a/tests/fuzz/test_bytes.py
+++ b/tests/fuzz/test_bytes.py
@@ -20,7 +20,7 @@
 from checker import properties
 from checker.chooser import Chooser
 from checker.explore import REST_STEPS
-from checker.loop import Transport
+from gateusher.virtual.loop import Transport
 from checker.story import Ask
 from checker.world import Setting, World
 from gateusher.config import file as toml_config
--- /dev/null
+++ b/tests/membership/test_wire.py
@@ -0,0 +1,148 @@
+"""Datagrams: what is written is read, what was changed is not, and what is newer is skipped by its length."""
+
+import struct
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gateusher.membership import wire
+from gateusher.membership.interface import SERIAL, State, member_id, newer
+from gateusher.membership.records import WINDOW, Window
+from gateusher.membership.wire import Frame, Header, WireError
+
+KEY, OLD = bytes(range(16)), bytes(range(16, 32))
+ids = st.binary(min_size=6, max_size=6)
+u32 = st.integers(0, 2**32 - 1)
+u64 = st.integers(0, 2**64 - 1)
+names = st.text(st.characters(categories=("L", "N", "P")), min_size=1, max_size=16)
+places = st.none() | st.tuples(st.sampled_from(["10.0.0.1", "::1", "127.255.3.4"]), st.integers(1, 65535))
+
+
+def one(data: bytes) -> Frame:
+    (frame,), unknown = wire.frames(data)
+    assert unknown == 0
+    return frame
+
+
+@given(ids, u64, u64, u32, ids, names, places, st.sampled_from([State.ALIVE, State.FAILED, State.LEFT]), u32)
+def test_each_frame_is_read_as_it_was_written(subject: bytes, n: int, incarnation: int, instance: int, by: bytes,
+                                              name: str, where: tuple[str, int] | None, state: State,
+                                              age: int) -> None:
+    for kind, made in ((wire.PING, wire.ping(n, subject)), (wire.REQ, wire.req(n, subject)),
+                       (wire.NACK, wire.nack(n, subject))):
+        assert one(made) == Frame(kind, subject, n)
+    assert one(wire.ack(n, subject, age, 3)) == Frame(wire.ACK, subject, n, age=age, health=3)
+    assert one(wire.alive(subject, incarnation, instance)) == Frame(
+        wire.ALIVE, subject, incarnation=incarnation, instance=instance)
+    assert one(wire.suspect(subject, incarnation, by)) == Frame(wire.SUSPECT, subject, incarnation=incarnation, by=by)
+    assert one(wire.failed(subject, incarnation, by)) == Frame(wire.FAILED, subject, incarnation=incarnation, by=by)
+    assert one(wire.left(subject, incarnation)) == Frame(wire.LEFT, subject, incarnation=incarnation)
+    assert one(wire.join(name, state, incarnation, instance, age, where)) == Frame(
+        wire.JOIN, incarnation=incarnation, instance=instance, age=age, state=state, name=name, address=where)
+    hashes = [(n + i) % 2**32 for i in range(wire.BUCKETS)]
+    assert one(wire.digest(hashes, True)) == Frame(wire.DIGEST, hashes=tuple(hashes), wants=True)
+    word = one(wire.word(subject, instance, age, 7, by))
+    assert (word.subject, word.instance, word.number, word.word, word.data) == (subject, instance, age, 7, by)
+
+
+def test_every_frame_fits_into_the_least_datagram() -> None:
+    longest = [wire.digest([2**32 - 1] * wire.BUCKETS, True), wire.word(b"s" * 6, 1, 1, 1, bytes(wire.MOST_WORD)),
+               wire.join("n" * wire.MOST_NAME, State.ALIVE, 1, 1, 1, ("ffff::1", 65535))]
+    assert all(wire.OVERHEAD + len(frame) <= wire.LEAST_DATAGRAM for frame in longest)
+    with pytest.raises(ValueError, match="64 at most"):
+        wire.word(b"s" * 6, 1, 1, 1, bytes(wire.MOST_WORD + 1))
+
+
+@given(ids, u32, u64, u64, st.binary(max_size=300), st.data())
+def test_a_changed_byte_is_no_datagram(sender: bytes, instance: int, incarnation: int, number: int, body: bytes,
+                                       data: st.DataObject) -> None:
+    header = Header(sender, instance, incarnation, number)
+    sealed = wire.seal(KEY, header, body)
+    assert wire.unseal((OLD, KEY), sealed) == (header, body)   # the second key counts as well
+    with pytest.raises(WireError, match="key"):
+        wire.unseal((OLD,), sealed)
+    at = data.draw(st.integers(0, len(sealed) - 1))
+    changed = bytearray(sealed)
+    changed[at] ^= data.draw(st.integers(1, 255))
+    with pytest.raises(WireError):
+        wire.unseal((KEY,), bytes(changed))
+
+
+@settings(max_examples=300)
+@given(st.binary(max_size=1400) | st.lists(st.tuples(st.integers(0, 255), st.binary(max_size=60)), max_size=20).map(
+    lambda fs: b"".join(bytes((kind, len(data))) + data for kind, data in fs)))
+def test_whatever_comes_is_read_or_refused(body: bytes) -> None:
+    try:
+        frames, unknown = wire.frames(body)
+    except WireError as error:
+        assert str(error) == "malformed"
+    else:
+        assert len(frames) + unknown <= len(body) // 2
+    with pytest.raises(WireError):
+        wire.unseal((KEY,), body)
+
+
+def test_a_datagram_of_every_length() -> None:
+    header = Header(b"s" * 6, 1, 1, 1)
+    for size in range(65508):
+        if size % 97 and size > 2000:
+            continue   # every length to beyond what is taken, then each 97th
+        data = bytes(size)
+        with pytest.raises(WireError):
+            wire.unseal((KEY,), data)
+        room = size - wire.OVERHEAD
+        if room >= 0:
+            sealed = wire.seal(KEY, header, bytes(room))
+            if size <= wire.MOST_DATAGRAM:
+                assert wire.unseal((KEY,), sealed)[1] == bytes(room)
+            else:
+                with pytest.raises(WireError, match="length"):
+                    wire.unseal((KEY,), sealed)
+
+
+def test_what_a_newer_version_adds_is_skipped_by_its_length() -> None:
+    known = wire.left(b"x" * 6, 9)
+    longer = bytes((known[0], known[1] + 5)) + known[2:] + b"later"
+    newer_kind = bytes((200, 3)) + b"abc"
+    frames, unknown = wire.frames(newer_kind + longer + newer_kind + known)
+    assert unknown == 2 and [f.kind for f in frames] == [wire.LEFT, wire.LEFT]
+    assert frames[0] == frames[1]
+    sealed = bytearray(wire.seal(KEY, Header(b"s" * 6, 1, 1, 1), known))
+    sealed[2] = 2   # the next version, signed as such
+    signed = bytes(sealed[:-wire.TAG])
+    tag = __import__("hmac").digest(KEY, signed, "sha256")[:wire.TAG]
+    assert wire.unseal((KEY,), signed + tag)[1] == known
+
+
+@given(st.lists(st.integers(1, 2000), max_size=400))
+def test_a_number_counts_once(numbers: list[int]) -> None:
+    window, taken, top = Window(0), set(), 0
+    for number in numbers:
+        fresh = window.take(number)
+        assert not (fresh and number in taken)
+        if number > top - WINDOW and number not in taken and number > 0:
+            assert fresh
+        if fresh:
+            taken.add(number)
+            top = max(top, number)
+
+
+def test_the_windows_edge() -> None:
+    window = Window(1000)
+    assert not window.take(1000) and not window.take(999)   # before its proof nothing counts
+    assert window.take(1000 + WINDOW)
+    assert not window.take(1000)            # just fallen out
+    assert window.take(1001)                # the oldest that can still be told
+    assert not window.take(1001)
+
+
+@given(u64, st.integers(1, SERIAL // 2 - 1))
+def test_there_is_always_a_newer_incarnation(a: int, step: int) -> None:
+    b = (a + step) % SERIAL
+    assert newer(b, a) and not newer(a, b) and not newer(a, a)
+
+
+def test_names_are_told_apart() -> None:
+    assert len({member_id(f"s{i}") for i in range(5000)}) == 5000
+    assert struct.calcsize(">2sBB6sIQQ") + wire.TAG == wire.OVERHEAD
