--- a/gateusher/config/membership.py
+++ b/gateusher/config/membership.py
@@ -39,6 +39,7 @@
     most_members: int = 5000
     most_datagram: int = 1200
     bytes_per_s: float = 32000.0         # all that is sent
+    drains: bool = True                  # whether drains and starts of endpoints are told and heeded
 
 
 class Table(Struct, forbid_unknown_fields=True, frozen=True):
@@ -59,6 +60,7 @@
     most_members: Annotated[int, Meta(ge=2, le=100_000)] = 5000
     most_datagram: Annotated[int, Meta(ge=256, le=1200)] = 1200
     bytes_per_second: Annotated[float, Meta(ge=2000, le=1e7)] = 32000.0
+    drains: bool = True
 
 
 def read_peer(text: str) -> tuple[str, tuple[str, int]]:
@@ -135,4 +137,4 @@
         advertise=address(table.advertise) if table.advertise else listen if table.addresses == "learnt" else None,
         period_ms=ms, timeout_ms=of(table.timeout, 0.3), gossip_ms=of(table.gossip, 0.2), sync_ms=of(table.sync, 10),
         retry_ms=of(table.retry, 10), forget_ms=table.forget * 1000, most_members=table.most_members,
-        most_datagram=table.most_datagram, bytes_per_s=table.bytes_per_second)
+        most_datagram=table.most_datagram, bytes_per_s=table.bytes_per_second, drains=table.drains)
--- a/gateusher/daemon.py
+++ b/gateusher/daemon.py
@@ -18,6 +18,7 @@
 
 if TYPE_CHECKING:
     from .load.inside import Inside
+    from .membership.fellows import Fellows
     from .membership.udp import Endpoint
 
 DRAIN_STEP_S = 0.02
@@ -71,10 +72,16 @@
                             (b"PUT", b"/_lameduck/on"): self.server.send_away,
                             (b"PUT", b"/_lameduck/off"): self.server.take_back}, {b"/_members": self._members})
         self.members: Endpoint | None = None
+        self.fellows: Fellows | None = None
         if config.membership:
             from .membership.udp import Endpoint  # noqa: PLC0415 - the platform's daemon has none
 
             self.members = Endpoint(config.membership, self.node.clock)
+            if config.membership.drains:
+                from .membership.fellows import Fellows  # noqa: PLC0415
+
+                self.fellows = Fellows(self.members, self.node.clock, self.engine.deliver, config.seed)
+                self.node.on_news = self.fellows.listed
         self.succession = Succession(config.sockets, config.memory_mb, _Door(self), self.node.hold,
                                      lambda: self.node.descriptors.held)
         self.server.proves = self.node.gate is not None
@@ -154,6 +161,8 @@
         for load in self.loads:
             load.close()
         self.admin.close()
+        if self.fellows:
+            self.fellows.close()
         if self.members:
             self.members.close()
         self.server.close()
--- /dev/null
+++ b/gateusher/membership/drains.py
@@ -0,0 +1,133 @@
+"""The first use of members: what a list says of drains and starts is told to those whose list is behind.  Pure.
+
+Word DRAIN: the server's number (4 bytes) and the list's version (8).  Word START: the same and when it began, in the
+list's own time (8, IEEE 754).  Whoever reads a newer list waits a random moment before it speaks, and says nothing
+that a fellow has said meanwhile: of 200 that read the same change a few speak (as receivers do in SRM, 1997).  A word
+is best effort, and fades; while its list is fresh somebody says it again, so that who was cut off hears it too.
+"""
+
+from __future__ import annotations
+
+import struct
+from math import isfinite
+from random import Random
+from typing import NamedTuple
+
+from ..policy.interface import Endpoint, ListKind, ListNews, State, Warned
+from .interface import Heard, Say
+from .spread import Allowance
+
+DRAIN, START = 1, 2          # kinds of words
+BURST_PER_S = 40.0           # words that we say, or take of one origin or relay, a second, and at once
+MOST_CREDITS = 4096
+AGAIN_MS, FRESH_MS = 4000.0, 30000.0   # a word is said again so often, for so long
+_DRAIN = struct.Struct(">IQ")
+_START = struct.Struct(">IQd")
+
+
+class Pending(NamedTuple):
+    due: float
+    until: float
+    state: State
+    version: int
+    booted_ms: float
+
+
+class Drains:
+    """`wait_ms`: within which those who read a change at once speak, each at its own moment."""
+
+    def __init__(self, wait_ms: float, seed: int) -> None:
+        self._wait, self._rng = wait_ms, Random(seed)
+        self._known: dict[int, Endpoint] = {}
+        self._pending: dict[int, Pending] = {}
+        self._said: dict[int, tuple[State, int]] = {}    # by anybody: the newest list that spoke of it
+        self._own = Allowance(BURST_PER_S)
+        self._credits: dict[str, Allowance] = {}
+        self.left_out = 0                                # words over the bounds
+
+    @property
+    def due(self) -> float:
+        """When `tick` is wanted."""
+        return min((p.due for p in self._pending.values()), default=1e18)
+
+    def listed(self, now: float, news: ListNews) -> None:
+        """The own list has spoken."""
+        if news.kind is ListKind.FAILED:
+            return
+        whole = news.kind is not ListKind.CHANGES
+        before, named = self._known, set[int]()
+        for entry in news.entries:
+            old = before.get(entry.endpoint)
+            named.add(entry.endpoint)
+            restarted = old is not None and entry.state is State.READY and entry.booted_ms > old.booted_ms
+            gone = old is not None and old.state is State.READY and entry.state is not State.READY
+            if (restarted or gone) and news.kind is not ListKind.CACHED:
+                self._plan(now, entry.endpoint, entry.state, news.version, entry.booted_ms)
+            if entry.state is State.GONE:
+                before.pop(entry.endpoint, None)
+            else:
+                before[entry.endpoint] = entry
+        if whole:
+            for eid in [eid for eid in before if eid not in named]:
+                if news.kind is not ListKind.CACHED and before[eid].state is State.READY:
+                    self._plan(now, eid, State.GONE, news.version, 0.0)
+                del before[eid]
+
+    def _plan(self, now: float, eid: int, state: State, version: int, booted_ms: float) -> None:
+        if self._said.get(eid, (State.READY, -1))[1] < version:
+            due = now + self._rng.random() * self._wait
+            self._pending[eid] = Pending(due, now + FRESH_MS, state, version, booted_ms)
+
+    def _again(self, now: float, eid: int, word: Pending) -> None:
+        """Somebody has said it: it is our turn later, unless a fellow's comes first."""
+        due = now + AGAIN_MS * (1.0 + self._rng.random())
+        if due < word.until:
+            self._pending[eid] = word._replace(due=due)
+        else:
+            self._pending.pop(eid, None)
+
+    def tick(self, now: float) -> list[Say]:
+        """Words that are due and that nobody else has said."""
+        words = []
+        for eid in [eid for eid, p in self._pending.items() if p.due <= now]:
+            word = self._pending[eid]
+            state, version, booted_ms = word.state, word.version, word.booted_ms
+            self._again(now, eid, word)
+            if not self._own.take(now, 1):
+                self.left_out += 1
+                continue
+            self._said[eid] = state, version
+            if state is State.READY:
+                words.append(Say(START, _START.pack(eid, version % (1 << 64), booted_ms)))
+            else:
+                words.append(Say(DRAIN, _DRAIN.pack(eid, version % (1 << 64))))
+        while len(self._said) > MOST_CREDITS:
+            del self._said[next(iter(self._said))]
+        return words
+
+    def heard(self, now: float, word: Heard) -> Warned | None:
+        """A fellow's word as an event for the decisions; None for what is none, or one too many of its sender."""
+        try:
+            if word.kind == DRAIN:
+                eid, version = _DRAIN.unpack_from(word.data)
+                state, booted_ms = State.DRAINING, 0.0
+            elif word.kind == START:
+                eid, version, booted_ms = _START.unpack_from(word.data)
+                state = State.READY
+            else:
+                return None
+        except struct.error:
+            return None
+        if not isfinite(booted_ms):
+            return None
+        for who in (f"origin {word.origin}", f"relay {word.relay}"):
+            if len(self._credits) >= MOST_CREDITS:
+                self._credits.clear()
+            if not self._credits.setdefault(who, Allowance(BURST_PER_S)).take(now, 1):
+                self.left_out += 1
+                return None
+        pending = self._pending.get(eid)
+        if pending and pending.version <= version and (pending.state is State.READY) == (state is State.READY):
+            self._again(now, eid, pending)
+        self._said[eid] = state, version
+        return Warned(eid, state, version, booted_ms)
--- a/gateusher/node.py
+++ b/gateusher/node.py
@@ -52,7 +52,8 @@
                              config.most_held, self.memory)
         self.upstream = Upstream(settings, config.serves, self.clock, self.memory, self.descriptors,
                                  reader(settings.report_fields))
-        news: Callable[[ListNews], None] = self.engine.deliver
+        self.on_news: Callable[[ListNews], None] | None = None   # told of the list beside the decisions
+        news: Callable[[ListNews], None] = self._news
         update: Callable[[list[HostLine], bool], None] = self.upstream.update
         self.gate: Gate | None = None
         if config.rehearsal_ms:
@@ -73,6 +74,11 @@
         self.discovery.cached(config.known)
         self._sweep_later()
 
+    def _news(self, news: ListNews) -> None:
+        self.engine.deliver(news)
+        if self.on_news:
+            self.on_news(news)
+
     def _sweep_later(self) -> None:
         self._sweep_due = self.loop.time() + SWEEP_S
         self._sweeping = self.loop.call_later(SWEEP_S, self._sweep)
--- a/gateusher/policy/brain.py
+++ b/gateusher/policy/brain.py
@@ -11,9 +11,10 @@
 from math import frexp, log, log1p
 from random import Random
 
+from .fellows import FELLOWS, Words, faded, warned
 from .interface import (Action, AttemptEnded, CloseIdle, Departed, Effect, Endpoint, Event, Fail,
                         ListKind, ListNews, Outcome, Probe, Probed, Refuse, Request, Retuned, Scope, Send,
-                        SetTimer, Settings, State, StreamBegan, TimerFired, Uploaded, Watch, Woke)
+                        SetTimer, Settings, State, StreamBegan, TimerFired, Uploaded, Warned, Watch, Woke)
 from .records import Lane, Server, Work, spread
 
 RAISE, LOWER = 0.1, 0.15         # a and b of the automaton
@@ -61,6 +62,7 @@
         self.fit = [[1.0] * len(classes) for _ in range(settings.kinds + 1)]
         self.mean_load, self.mean_share, self.rate, self.rate_at = 0.0, 1.0, 0.0, 0.0
         self.count, self.woke_at = [0] * len(classes), -1e12
+        self.words = Words()
         self.cold: list[Server] = []   # those that were cold when they were last looked at
         self.field = next((i for i, f in enumerate(settings.report_fields) if f in ("waiting", "active")), -1)
 
@@ -120,6 +122,7 @@
             self.acts.append(SetTimer(WATCH, part * wait))
             return
         self.watch_fails = 0
+        self.words.version = news.version
         if news.kind != ListKind.CHANGES:
             named = {e.endpoint for e in news.entries}
             for server in [s for s in self.servers.values() if s.eid not in named]:
@@ -176,7 +179,7 @@
             self._chill(server, min(self.now, max(entry.booted_ms, server.cold_from)))
             self._back(server)
             server.lanes.clear()
-        if not server.ready:
+        if not server.ready and self.words.listed(server):
             server.ready = True
             self.ready.append(server)
             self._place(server, self.floor)
@@ -497,6 +500,8 @@
     def _timer(self, event: TimerFired) -> None:
         if event.token == WATCH:
             return self._watch()
+        if event.token == FELLOWS:
+            return faded(self)
         work = self.work.get(event.token - HOLD)
         if work and not work.out:
             self._try(work)
@@ -672,4 +677,4 @@
     ListNews: Balancer._news, Request: Balancer._request, AttemptEnded: Balancer._ended,
     TimerFired: Balancer._timer, Departed: Balancer._departed, StreamBegan: Balancer._began,
     Probed: Balancer._probed, Retuned: Balancer._retuned,
-    Uploaded: Balancer._uploaded, Woke: Balancer._woke}
+    Uploaded: Balancer._uploaded, Woke: Balancer._woke, Warned: warned}
--- a/gateusher/policy/interface.py
+++ b/gateusher/policy/interface.py
@@ -206,8 +206,17 @@
     live: tuple[int, ...]                           # those that requests still come with
 
 
+class Warned(NamedTuple):
+    """Another sidecar's newer list says that a server drains or is gone, or (READY) when it was started anew."""
+
+    endpoint: int
+    state: State
+    version: int         # of that list
+    booted_ms: float = 0.0
+
+
 Event = (ListNews | Request | AttemptEnded | StreamBegan | Departed | TimerFired | Probed | Heard | Retuned | Uploaded
-         | Woke)
+         | Woke | Warned)
 
 
 class Send(NamedTuple):
