--- /dev/null
+++ b/bench/members.py
@@ -0,0 +1,145 @@
+"""What membership costs and how soon it is right: in virtual time by size and loss, and on the idle process.
+
+`python -m bench.members [--sizes 10,100,400] [--idle]`.  Detection is in periods of the protocol, so that it compares
+with what SWIM and Lifeguard publish; bytes a second are a member's, of the default settings.
+"""
+
+from __future__ import annotations
+
+import argparse
+import statistics
+import time
+
+from checker.members import Fleet, One, place, settings
+from gateusher.membership.interface import Received, State, Tick, member_id
+from gateusher.membership.machine import Members
+from gateusher.membership.records import Member
+from gateusher.membership.spread import News
+
+
+def acquaint(fleet: Fleet) -> None:
+    """Have all know and have proven all, as after a long time together: what follows measures that, not the join."""
+    machines = [o.machine for o in fleet.ones]
+    for one in fleet.ones:
+        for other in machines:
+            if other is not one.machine and other.key not in one.machine.members:
+                member = Member(other.key, other.s.name, other.s.listen, False, born=0.0)
+                one.machine.members[other.key] = member
+                member.instance = other.instance
+                one.machine._to(member, State.ALIVE, other.incarnation)
+        one.machine.news = News(one.machine.s.factor)
+        one.machine.acts.clear()
+
+
+def by_size(count: int, loss: float, seed: int) -> str:
+    """Of a settled fleet: idle bytes, false suspicions in a minute, when a death is found first and by all."""
+    fleet = Fleet(count, seed=seed, seeds=3, learnt=True, start_within=10.0)
+    fleet.run(0.02)
+    acquaint(fleet)
+    fleet.network.common.loss = loss
+    fleet.run(5)
+    fleet.changes.clear()
+    before, since = sum(fleet.bytes.values()), fleet.clock.now
+    fleet.run(30)
+    idle = (sum(fleet.bytes.values()) - before) / count / 30
+    doubts = sum(c.after is State.SUSPECT for _, i, c in fleet.changes if c.by == f"s{i}")
+    false = len({c.name for _, _, c in fleet.changes if c.after is State.FAILED})
+    first, every = [], []
+    for i in range(1, 4):
+        died = fleet.clock.now
+        fleet.one(i).kill()
+        fleet.run(45)
+        found = fleet.detected(f"s{i}", State.FAILED, died)
+        suspected = fleet.detected(f"s{i}", State.SUSPECT, died)
+        first.append(suspected[0] if suspected else float("nan"))
+        every.append(found[-1] if len(found) >= count - i - 1 else float("inf"))
+    worst = max(v for (_, s), v in fleet.worst.items() if s > since // 1000)
+    return (f"{count:5}  {loss:4.0%}  {idle:7.0f}  {doubts / count / 0.5:8.3f}  {false:6}  "
+            f"{statistics.median(first):7.1f}  {statistics.median(every):7.1f}  {worst:7}")
+
+
+def heal(count: int, seed: int, apart_s: float = 60.0) -> str:
+    """Halves that were apart: seconds until all views are true again, and the most bytes one sent in a second."""
+    fleet = Fleet(count, seed=seed, seeds=3, learnt=True, start_within=10.0)
+    fleet.run(0.02)
+    acquaint(fleet)
+    fleet.watch = False
+    fleet.network.apart = lambda a, b: (a < count // 2) != (b < count // 2)  # type: ignore[operator]
+    fleet.run(apart_s)
+    fleet.network.apart = lambda a, b: False
+    fleet.worst.clear()
+    took = fleet.agree(300)
+    return f"{count:5}  {took:6.0f}  {max(fleet.worst.values()):7}"
+
+
+def idle(count: int) -> str:
+    """One process among so many, for a minute of its own time: CPU as a share of a core, memory of its table."""
+    fleet = Fleet(0)
+    fleet.add(settings(0, [], learnt=True), 0)
+    one: One = fleet.ones[0]
+    machine = one.machine
+    for i in range(1, count):
+        key = member_id(f"s{i}")
+        member = machine.members[key] = Member(key, f"s{i}", place(i), False, instance=i)
+        machine._to(member, State.ALIVE, 1)
+    machine.news = News(4)
+    peer = Members(settings(1, [0]), 0, 9, 9, 0.0)
+    pings = 0
+    began = time.process_time()
+    now = machine.now
+    while now < 60000.0 and count > 1:
+        now = max(now, machine.due)
+        acts = machine.handle(now, Tick())
+        pings += len(acts)
+        for member in machine.members.values():   # nobody answers here: each counts as heard, so that none is doubted
+            if member.suspicion:
+                machine._to(member, State.ALIVE, member.incarnation)
+        machine.health = 0
+        machine.handle(now, Received(place(1), b"x" * 80))
+    took = time.process_time() - began
+    del peer
+    return f"{count:5}  {took / 60:8.4%}  {machine.sent['bytes'] / 60:7.0f}  {pings / 60:6.2f}"
+
+
+def queue(count: int = 2500, rounds: int = 300) -> str:
+    """The queue of news by levels beside a plain list that is sorted at each take, at a heal's size."""
+    frames = {i: bytes(20) for i in range(count)}
+    news = News(4)
+    for key, frame in frames.items():
+        news.put(key, frame)
+    began = time.process_time()
+    for _ in range(rounds):
+        news.take(1150, 5000)
+    ours = time.process_time() - began
+    counts = dict.fromkeys(frames, 0)
+    began = time.process_time()
+    for _ in range(rounds):
+        for key in sorted(counts, key=counts.__getitem__)[:57]:
+            counts[key] += 1
+            if counts[key] >= 16:
+                del counts[key]
+    plain = time.process_time() - began
+    return f"queue of {count}: by levels {ours / rounds * 1e6:.0f} us a take, sorted {plain / ours:.1f} times that"
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--sizes", default="10,100,400")
+    parser.add_argument("--seed", type=int, default=1)
+    args = parser.parse_args()
+    sizes = [int(size) for size in args.sizes.split(",")]
+    print(queue())
+    print("members  of one core  bytes/s  datagrams/s (idle)")
+    for size in (2, 10, 200, 5000):
+        print(idle(size), flush=True)
+    print(" size  loss  bytes/s  doubts/min  failed  first s  all s  worst second")
+    for size in sizes:
+        for loss in (0.0, 0.05, 0.3):
+            print(by_size(size, loss, args.seed), flush=True)
+    print(" size  heal s  worst second")
+    for size in sizes:
+        print(heal(size, args.seed), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/checker/__main__.py
+++ b/checker/__main__.py
@@ -203,6 +203,25 @@
     return 0
 
 
+def plant(args: argparse.Namespace) -> int:
+    from .faults import play  # noqa: PLC0415 - faults are planted before the program is loaded
+
+    return 1 if play(workers=args.workers) else 0
+
+
+def members(args: argparse.Namespace) -> int:
+    from . import pure  # noqa: PLC0415
+    from .three import Three  # noqa: PLC0415
+
+    for start in ("met", "apart", "doubted"):
+        found = pure.search(lambda start=start: Three(start=start), args.states)  # type: ignore[misc]
+        print(f"{start}: {found}; by level {found.levels}", flush=True)
+        if found.broken:
+            print("\n".join([*found.story, "BROKEN", *found.broken]))
+            return 1
+    return 0
+
+
 def main(words: Iterable[str] | None = None) -> int:
     parser = argparse.ArgumentParser(prog="checker")
     commands = parser.add_subparsers(dest="command", required=True)
@@ -242,6 +261,12 @@
     covering = commands.add_parser("cover", help="branch coverage under the explorer alone")
     covering.add_argument("--json", action="store_true", help="the lines that a hunt for a mutant runs")
     covering.set_defaults(run=cover)
+    planted = commands.add_parser("faults", help="plant each fault of checker.faults and play the tests that find it")
+    planted.add_argument("--workers", type=int, default=4)
+    planted.set_defaults(run=plant)
+    three = commands.add_parser("members", help="every order for three members, breadth first")
+    three.add_argument("--states", type=int, default=20000)
+    three.set_defaults(run=members)
     args = parser.parse_args(words if words is None else list(words))
     return int(args.run(args))
 
--- a/tests/membership/test_machine.py
+++ b/tests/membership/test_machine.py
@@ -106,7 +106,7 @@
     fleet = settled(12)
     fleet.network.link(2, 5).cut = True
     fleet.run(90)
-    assert not seen(fleet, FAILED) and not fleet.wrong()
+    assert not seen(fleet, SUSPECT) and not fleet.wrong()   # others reach it, and say so
 
 
 def test_cuts_one_way_all_round_a_ring_bar_nobody() -> None:
@@ -375,6 +375,26 @@
     assert not fleet.one(3).machine.displaced
 
 
+def test_a_record_of_our_name_displaces_only_where_it_comes_above_ours_again_and_again() -> None:
+    fleet = settled(5)
+    fleet.run(20)
+    one = fleet.one(1).machine
+    for n in range(3):    # each above what we have said by then, as only a living process can, and all younger
+        before = one.incarnation
+        false(fleet, "s0", wire.join("s1", ALIVE, before + 1, 4242, 0, None), 1)
+        assert one.displaced == (n == 2)
+        assert one.displaced or one.incarnation == before + 2
+
+
+def test_an_older_process_of_our_name_never_displaces_us() -> None:
+    fleet = settled(5)
+    fleet.run(20)
+    one = fleet.one(1).machine
+    for _ in range(10):
+        false(fleet, "s0", wire.join("s1", ALIVE, one.incarnation + 1, 4242, 10**6, None), 1)
+    assert not one.displaced
+
+
 # -- words and bounds
 
 
--- /dev/null
+++ b/tests/membership/test_udp.py
@@ -0,0 +1,180 @@
+"""Members on real sockets and one loop: foreign bytes of every length, full buffers, an address handed on."""
+
+import asyncio
+import json
+import os
+import socket
+import subprocess
+import sys
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+import uvloop
+
+from gateusher.base.clock import Clock
+from gateusher.config.membership import Membership
+from gateusher.membership.interface import Changed, Heard, State
+from gateusher.membership.udp import Endpoint
+
+from ..helpers import HANG_S
+
+KEY = bytes(range(16))
+
+
+def place() -> tuple[str, int]:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.3", 0))
+        ip, port = sock.getsockname()
+        return ip, port
+
+
+def pair(**more: object) -> tuple[Membership, Membership]:
+    a, b = place(), place()
+    quick = {"keys": (KEY,), "period_ms": 100.0, "timeout_ms": 30.0, "gossip_ms": 20.0, "retry_ms": 100.0, **more}
+    return (Membership(name="a", listen=a, peers=(("b", b),), **quick),  # type: ignore[arg-type]
+            Membership(name="b", listen=b, peers=(("a", a),), **quick))  # type: ignore[arg-type]
+
+
+async def until(true: Callable[[], bool]) -> None:
+    async with asyncio.timeout(HANG_S):
+        while not true():
+            await asyncio.sleep(0.005)
+
+
+def run(test: Callable[[], object]) -> None:
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(asyncio.wait_for(test(), 2 * HANG_S))  # type: ignore[arg-type]
+
+
+def test_two_find_each_other_and_one_that_leaves_is_told() -> None:
+    async def test() -> None:
+        first, second = pair()
+        a, b = Endpoint(first, Clock()), Endpoint(second, Clock())
+        events: list[Changed | Heard] = []
+        a.listeners.append(events.append)
+        a.open()
+        b.open()
+        await until(lambda: a.machine.there == b.machine.there == 1)
+        b.say(7, b"word")
+        await until(lambda: any(isinstance(e, Heard) and (e.origin, e.kind, e.data) == ("b", 7, b"word")
+                                for e in events))
+        b.leave()
+        await until(lambda: any(isinstance(e, Changed) and e.after is State.LEFT for e in events))
+        assert json.loads(json.dumps(a.report()))["members"][1]["state"] == "left"
+        a.close()
+        b.close()
+    run(test)
+
+
+def test_foreign_datagrams_of_every_length_change_nothing_and_are_not_answered() -> None:
+    async def test() -> None:
+        config, _ = pair()
+        a = Endpoint(config, Clock())
+        a.open()
+        loop, answered = asyncio.get_running_loop(), list[int]()
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK) as sock:
+            sock.bind(("127.0.0.1", 0))
+            loop.add_reader(sock, lambda: answered.append(len(sock.recv(65535))))
+            lengths = [*range(0, 1300), *range(1300, 65508, 911), 65507]
+            for length in lengths:
+                seen = a.received
+                while a.received == seen:   # one at a time, so that none is lost in a full buffer
+                    sock.sendto(os.urandom(length), config.listen)
+                    async with asyncio.timeout(HANG_S):
+                        while a.received == seen:
+                            await asyncio.sleep(0)
+            loop.remove_reader(sock)
+        dropped = a.machine.drops
+        assert a.received == len(lengths) and sum(dropped.values()) == len(lengths)
+        assert set(dropped) == {"length", "malformed"} and not answered and not a.machine.there
+        a.close()
+    run(test)
+
+
+class Full:
+    """Stands for a socket whose buffer takes nothing."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._sock = sock
+
+    def sendto(self, data: bytes, to: tuple[str, int]) -> int:
+        raise BlockingIOError
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self._sock, name)
+
+
+def test_a_full_buffer_loses_datagrams_and_nothing_else() -> None:
+    async def test() -> None:
+        first, second = pair()
+        a, b = Endpoint(first, Clock()), Endpoint(second, Clock())
+        a.open()
+        real = a._sock
+        assert real
+        a._sock = Full(real)  # type: ignore[assignment]
+        b.open()
+        await until(lambda: a.unsent["BlockingIOError"] > 3)
+        assert not b.machine.there
+        a._sock = real
+        await until(lambda: a.machine.there == b.machine.there == 1)
+        a.close()
+        b.close()
+    run(test)
+
+
+def test_a_successor_takes_the_address_and_gives_it_back() -> None:
+    async def test() -> None:
+        first, second = pair()
+        old, peer, new = Endpoint(first, Clock()), Endpoint(second, Clock()), Endpoint(first, Clock())
+        events: list[Changed | Heard] = []
+        peer.listeners.append(events.append)
+        old.open()
+        peer.open()
+        await until(lambda: old.machine.there == peer.machine.there == 1)
+        new.open(patient=True)       # the address is in use: it waits
+        assert not new.report()["listening"]
+        with pytest.raises(OSError, match="in use"):
+            Endpoint(first, Clock()).open()
+        old.pause()
+        await until(lambda: new.machine.there == 1)
+        await until(lambda: any(isinstance(e, Changed) and e.restarted for e in events))
+        new.close()                  # it dies, and the old one goes on as another life of the name
+        before = old.machine.instance
+        old.resume()
+        old.resume()
+        await until(lambda: old.machine.there == 1 and old.machine.instance != before)
+        held = next(iter(peer.machine.members.values()))
+        await until(lambda: held.instance == old.machine.instance and held.state is State.ALIVE)
+        assert not [e for e in events if isinstance(e, Changed) and e.after is State.LEFT]
+        for end in (old, peer):
+            end.close()
+            end.close()
+    run(test)
+
+
+def test_keys_and_peers_are_taken_up_and_the_rest_is_told(caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        first, second = pair()
+        other = b"another key of 16"
+        a, b = Endpoint(first, Clock()), Endpoint(second._replace(keys=(other,)), Clock())
+        a.open()
+        b.open()
+        await until(lambda: a.machine.drops["key"] > 0 and b.machine.drops["key"] > 0)
+        a.follow(first._replace(keys=(KEY, other)))
+        b.follow(second._replace(keys=(KEY, other), period_ms=77.0))
+        await until(lambda: a.machine.there == b.machine.there == 1)
+        a.follow(first._replace(keys=(KEY, other), peers=()))
+        assert not a.machine.members
+        a.close()
+        b.close()
+    run(test)
+
+
+def test_it_is_off_unless_it_is_set(tmp_path: Path) -> None:
+    """Without [membership] the daemon loads none of it and opens no socket for it."""
+    code = ("import sys\nimport gateusher.cli.run, gateusher.daemon\n"
+            "print(sorted(m for m in sys.modules if 'membership' in m or 'virtual' in m))")
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True,
+                          cwd=Path(__file__).parents[2])
+    assert done.stdout.strip() == "[]"
