--- a/bench/members.py
+++ b/bench/members.py
@@ -13,7 +13,7 @@
 from checker.members import Fleet, One, place, settings
 from gateusher.membership.interface import Received, State, Tick, member_id
 from gateusher.membership.machine import Members
-from gateusher.membership.records import Member
+from gateusher.membership.records import Member, Window
 from gateusher.membership.spread import News
 
 
@@ -25,7 +25,7 @@
             if other is not one.machine and other.key not in one.machine.members:
                 member = Member(other.key, other.s.name, other.s.listen, False, born=0.0)
                 one.machine.members[other.key] = member
-                member.instance = other.instance
+                member.instance, member.window = other.instance, Window(0)
                 one.machine._to(member, State.ALIVE, other.incarnation)
         one.machine.news = News(one.machine.s.factor)
         one.machine.acts.clear()
--- a/gateusher/config/platform.py
+++ b/gateusher/config/platform.py
@@ -4,14 +4,20 @@
 
 import json
 from collections.abc import Mapping
-from typing import Any
+from hashlib import blake2b
+from typing import TYPE_CHECKING, Any
 
 from ..policy.interface import ClassSettings, Effect, Settings
 from ..simulator.settings import SettingsError, parse_settings
 from .model import Config, ConfigError, Names, address, usual_methods
 
+if TYPE_CHECKING:
+    from .membership import Membership
+
 # SIGKILL comes no sooner after SIGTERM than the longest deadline, 3 s at most, and 0.7 s (PROTOCOL, Figures).
 KILL_MOST_S, DRAIN_S = 3.0, 0.4
+MEMBERS = "GATEUSHER_MEMBERS"    # "on": sidecars of the platform know of each other; anything else is off
+PEERS_BYTES_PER_S = 4000.0       # 200 of them at their bound: 0.005 of G at 30 first tries a second each
 
 
 class _Fields:
@@ -86,6 +92,27 @@
     return faults
 
 
+def _members(fields: _Fields, conf: dict[str, Any], index: int) -> Membership | None:
+    """The others of the tier, where `peer_listen` and `peers` are told.
+
+    They have no names there: each is known by its place among `peers`.  Nor is there a secret: the key is made of
+    what all of the tier are told alike, and keeps out foreign and old datagrams, not somebody who knows that list.
+    """
+    from .membership import Membership  # noqa: PLC0415 - the platform's daemon starts without it
+
+    listen = conf.get("peer_listen")
+    raw = fields.of(conf.get("peers") or [], "peers", list, [])
+    if listen is None or len(raw) < 2:
+        return None
+    peers = [fields.address(peer, f"peers[{i}]") for i, peer in enumerate(raw)]
+    if not 0 <= index < len(peers):
+        fields.faults.append(f"settings.me: the place of one of {len(peers)} peers wanted, found {index}")
+    key = blake2b(json.dumps(raw).encode(), digest_size=32, person=b"gateusher-tier").digest()
+    return Membership(f"p{index}", fields.address(listen, "peer_listen"),
+                      tuple((f"p{i}", peer) for i, peer in enumerate(peers) if i != index), (key,),
+                      most_members=len(peers) + 1, most_datagram=256, bytes_per_s=PEERS_BYTES_PER_S)
+
+
 def parse(conf: dict[str, Any], env: Mapping[str, str], shape: Mapping[str, Any] | None = None) -> Config:
     """Raises ConfigError with all faults.
 
@@ -114,6 +141,7 @@
     fields.amount(known.get("seq"), "known.seq", 0)
     fields.of(known.get("hosts"), "known.hosts", list, [])
     bounds = fields.of(raw.get("bounds", {}), "settings.bounds", dict, {})
+    on = env.get(MEMBERS) == "on" and bounds.get("peers") is True
     admin = env.get("BALANCER_ADMIN_ADDR") or conf.get("admin_addr")
     config = Config(
         name=fields.of(env.get("BALANCER_NAME") or conf.get("name"), "name", str, ""),
@@ -129,7 +157,8 @@
         methods=tuple(usual_methods(c.effect) for c in settings.classes),
         admin=fields.address(admin, "admin_addr") if admin else None,
         drain_s=min(KILL_MOST_S, max(c.deadline_ms / 1000 for c in settings.classes)) + DRAIN_S,
-        shape={k: v for k, v in conf.items() if k not in ("known", "peers")})
+        shape={k: v for k, v in conf.items() if k not in ("known", "peers")},
+        membership=_members(fields, conf, settings.index) if on else None)
     if fields.faults:
         raise ConfigError(*fields.faults)
     return config
--- a/tests/membership/test_config.py
+++ b/tests/membership/test_config.py
@@ -5,10 +5,13 @@
 
 import pytest
 
+from gateusher.config import platform
 from gateusher.config.file import parse
 from gateusher.config.membership import Membership
 from gateusher.config.model import ConfigError
 
+from ..net import configuration
+
 GOOD: dict[str, Any] = {
     "name": "s1", "nodes": [{"name": "n", "address": "127.0.0.1:9001"}],
     "classes": {"look": {"effect": "safe", "aim": 1.0, "deadline": 2.0}},
@@ -65,3 +68,40 @@
         parse(with_(listen="x", peers=["a", "b"], keys=["5ec3e7"], timeout=3.0))
     assert len(caught.value.faults) == 5
     assert "5ec3e7" not in str(caught.value)
+
+
+# -- the platform's JSON
+
+
+TOLD = {"peer_listen": "10.0.0.4:7946", "peers": ["10.3.0.1:7946", "10.3.0.2:7946", "10.3.0.3:7946"]}
+
+
+def platform_conf(**more: Any) -> dict[str, Any]:
+    conf = configuration([], 8500, **more)
+    conf["settings"].setdefault("bounds", {})["peers"] = True
+    conf["settings"]["me"] = 1
+    return conf
+
+
+def test_on_the_platform_it_is_off_unless_it_is_switched_on() -> None:
+    assert platform.parse(platform_conf(**TOLD), {}).membership is None
+    forbidden = platform_conf(**TOLD)
+    forbidden["settings"]["bounds"]["peers"] = False
+    assert platform.parse(forbidden, {"GATEUSHER_MEMBERS": "on"}).membership is None
+    assert platform.parse(platform_conf(), {"GATEUSHER_MEMBERS": "on"}).membership is None
+
+
+def test_on_the_platform_members_are_known_by_their_places() -> None:
+    got = platform.parse(platform_conf(**TOLD), {"GATEUSHER_MEMBERS": "on"}).membership
+    assert got and got.name == "p1" and got.listen == ("10.0.0.4", 7946) and got.most_datagram == 256
+    assert got.peers == (("p0", ("10.3.0.1", 7946)), ("p2", ("10.3.0.3", 7946)))
+    other = platform.parse({**platform_conf(**TOLD), "peer_listen": "10.0.0.5:7946"}, {"GATEUSHER_MEMBERS": "on"})
+    assert other.membership and other.membership.keys == got.keys
+
+
+def test_on_the_platform_faults_are_told() -> None:
+    conf = platform_conf(**{**TOLD, "peers": ["x", "10.3.0.2:7946"]})
+    conf["settings"]["me"] = 7
+    with pytest.raises(ConfigError) as caught:
+        platform.parse(conf, {"GATEUSHER_MEMBERS": "on"})
+    assert [f.partition(":")[0] for f in caught.value.faults] == ["peers[0]", "settings.me"]
