--- a/rig/processes.py
+++ b/rig/processes.py
@@ -29,6 +29,7 @@
         self.path.write_text(config)
         self.control = str(folder / "control.sock")
         self.child: asyncio.subprocess.Process | None = None
+        self._children: list[asyncio.subprocess.Process] = []   # all that it started
         self.stopped = False
         self.wanted = False          # whether it serves, and callers may come
         self.peak_kb = 0
@@ -56,6 +57,7 @@
         for fd in fds:
             os.close(fd)
         self.child, self.stopped = child, False
+        self._children.append(child)
         self.history.note("started", who=self.name, pid=child.pid, life=self._lives)
         return child
 
@@ -140,12 +142,11 @@
         self.signal(signal.SIGHUP)
 
     async def close(self) -> None:
-        """No process is left, whatever happened."""
-        if self.child and self.child.returncode is None:
-            if self.stopped:
-                self.go_on()
-            self.child.kill()
-            await self.child.wait()
+        """No process is left, whatever happened: where two faults met, also one that was replaced and never ended."""
+        for child in self._children:
+            if child.returncode is None:
+                child.kill()   # SIGKILL ends a stopped one too
+                await child.wait()
         if self._clock is not None:
             os.close(self._clock)
             self._clock = None
