--- a/rig/processes.py
+++ b/rig/processes.py
@@ -30,6 +30,7 @@
         self.control = str(folder / "control.sock")
         self.child: asyncio.subprocess.Process | None = None
         self._children: list[asyncio.subprocess.Process] = []   # all that it started
+        self.life = asyncio.Lock()   # held by the fault that stops, ends or replaces it, until that is mended
         self.stopped = False
         self.wanted = False          # whether it serves, and callers may come
         self.peak_kb = 0
--- a/rig/world.py
+++ b/rig/world.py
@@ -334,6 +334,8 @@
 
     async def _lives(self, fault: Fault, whom: list[Process]) -> Callable[[], Awaitable[None]]:
         what = fault.what
+        for process in sorted(whom, key=lambda p: p.name):  # in one order, so that no two wait for each other
+            await process.life.acquire()
         if what == "stop":
             for process in whom:
                 process.stop()
@@ -352,6 +354,7 @@
                 elif what in ("kill", "end") and not process.wanted:
                     await process.run()
                     await self.ready(process.name)
+                process.life.release()
         return mend
 
     # -- the end
