Members: one record of ourselves, one way to plant a module; what nothing read is gone

Our own incarnation and record stood twice in the machine, wire and config each had a longest name, a file's seconds two types, and planted faults a second import hook beside the mutants'. A relay's name went through four functions that never read it; the rig had states, keys and a reload nobody used.

--- a/bench/members.py
+++ b/bench/members.py
@@ -12,7 +12,6 @@
 
 from checker.members import Fleet, One, place, settings
 from gateusher.membership.interface import Received, State, Tick, member_id
-from gateusher.membership.machine import Members
 from gateusher.membership.records import Member, Window
 from gateusher.membership.spread import News
 
@@ -83,7 +82,6 @@
         member = machine.members[key] = Member(key, f"s{i}", place(i), False, instance=i)
         machine._to(member, State.ALIVE, 1)
     machine.news = News(4)
-    peer = Members(settings(1, [0]), 0, 9, 9, 0.0)
     pings = 0
     began = time.process_time()
     now = machine.now
@@ -97,7 +95,6 @@
         machine.health = 0
         machine.handle(now, Received(place(1), b"x" * 80))
     took = time.process_time() - began
-    del peer
     return f"{count:5}  {took / 60:8.4%}  {machine.sent['bytes'] / 60:7.0f}  {pings / 60:6.2f}"
 
 
--- a/checker/faults.py
+++ b/checker/faults.py
@@ -6,20 +6,17 @@
 
 from __future__ import annotations
 
-import importlib.machinery
-import importlib.util
 import os
 import subprocess
 import sys
 import tempfile
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 from concurrent.futures import ThreadPoolExecutor
-from importlib.abc import MetaPathFinder
 from pathlib import Path
-from types import ModuleType
 from typing import NamedTuple
 
-ROOT = Path(__file__).parents[1]
+from . import mutate
+from .mutate import ROOT
 
 
 class Fault(NamedTuple):
@@ -109,34 +106,10 @@
     return text.replace(fault.before, fault.after)
 
 
-class _Loader(importlib.machinery.SourceFileLoader):
-    def __init__(self, fault: Fault, path: str) -> None:
-        super().__init__(fault.module, path)
-        self._fault = fault
-
-    def get_code(self, fullname: str) -> object:  # type: ignore[override]
-        return compile(source(self._fault), self.path, "exec", dont_inherit=True)
-
-
-class _Finder(MetaPathFinder):
-    def __init__(self, fault: Fault) -> None:
-        self._fault = fault
-
-    def find_spec(self, fullname: str, path: Sequence[str] | None,
-                  target: ModuleType | None = None) -> importlib.machinery.ModuleSpec | None:
-        if fullname != self._fault.module:
-            return None
-        place = ROOT.joinpath(*fullname.split(".")).with_suffix(".py")
-        return importlib.util.spec_from_file_location(fullname, place, loader=_Loader(self._fault, str(place)))
-
-
 def plant(name: str) -> None:
     """Have the module come with its fault.  It must not be loaded yet.  Raises KeyError, ValueError."""
     fault = by_name(name)
-    if fault.module in sys.modules:
-        raise ValueError(f"{fault.module} is loaded already")
-    source(fault)
-    sys.meta_path.insert(0, _Finder(fault))
+    mutate.replace(fault.module, source(fault))
 
 
 def pytest_configure() -> None:
--- a/checker/mutate.py
+++ b/checker/mutate.py
@@ -228,32 +228,37 @@
 
 
 class _Finder(MetaPathFinder):
-    """Changes one module as it is loaded."""
+    """Gives one module other content as it is loaded."""
 
-    def __init__(self, mutant: Mutant) -> None:
-        self._mutant = mutant
+    def __init__(self, module: str, content: str | ast.Module) -> None:
+        self._module, self._content = module, content
 
     def find_spec(self, name: str, path: Any, target: ModuleType | None = None) -> Any:
-        if name != self._mutant.module:
+        if name != self._module:
             return None
         spec = importlib.machinery.PathFinder.find_spec(name, path)
         assert spec and spec.origin
-        spec.loader = _Loader(name, spec.origin, self._mutant)
+        spec.loader = _Loader(name, spec.origin, self._content)
         return spec
 
 
 class _Loader(importlib.machinery.SourceFileLoader):
-    def __init__(self, name: str, path: str, mutant: Mutant) -> None:
+    def __init__(self, name: str, path: str, content: str | ast.Module) -> None:
         super().__init__(name, path)
-        self._mutant = mutant
+        self._content = content
 
     def get_code(self, fullname: str) -> Any:
-        return compile(self._mutant.tree, self.path, "exec")
+        return compile(self._content, self.path, "exec", dont_inherit=True)
+
+
+def replace(module: str, content: str | ast.Module) -> None:
+    """From here on the module has this content.  It must not be imported yet."""
+    assert module not in sys.modules, f"{module} is imported already"
+    sys.meta_path.insert(0, _Finder(module, content))
 
 
 def plant(name: str) -> Mutant:
     """From here on the program has this fault.  Its module must not be imported yet."""
     mutant = find(name)
-    assert mutant.module not in sys.modules, f"{mutant.module} is imported already"
-    sys.meta_path.insert(0, _Finder(mutant))
+    replace(mutant.module, mutant.tree)
     return mutant
--- a/gateusher/cli/extras.py
+++ b/gateusher/cli/extras.py
@@ -7,7 +7,7 @@
 
 EXTRA = re.compile(r"""extra\s*==\s*['"]([^'"]+)['"]""")
 # Where a package's import name is not its own; of what the extras hold today.
-NAMES = {"hdrh": "hdrhistogram", "jinja2": "jinja2", "mpl_toolkits": "matplotlib"}
+NAMES = {"hdrh": "hdrhistogram", "mpl_toolkits": "matplotlib"}
 USUAL = {"hdrhistogram": "load", "ijson": "load", "jinja2": "load", "matplotlib": "load", "zstandard": "load",
          "httpx": "httpx"}
 
--- a/gateusher/config/file.py
+++ b/gateusher/config/file.py
@@ -17,9 +17,9 @@
 
 from ..policy.interface import ClassSettings, Effect, Scope, Settings
 from . import membership
+from .membership import Seconds
 from .model import APPLICATION, OK_ONLY, Config, ConfigError, Names, address, usual_methods
 
-Seconds = Annotated[float, Meta(gt=0, le=86400)]
 Count = Annotated[int, Meta(ge=1, le=1_000_000)]
 Share = Annotated[float, Meta(ge=0, le=1)]
 Name = Annotated[str, Meta(min_length=1, max_length=200)]
--- a/gateusher/config/membership.py
+++ b/gateusher/config/membership.py
@@ -11,7 +11,7 @@
 
 MOST_NAME = 64          # bytes, as on the wire
 LEAST_KEY = 16          # bytes
-Share = Annotated[float, Meta(gt=0, le=86400)]
+Seconds = Annotated[float, Meta(gt=0, le=86400)]
 
 
 class Membership(NamedTuple):
@@ -54,9 +54,9 @@
     period: Annotated[float, Meta(ge=0.05, le=60)] = 1.0
     timeout: Annotated[float, Meta(ge=0.01, le=30)] | None = None   # three tenths of the period without it
     gossip: Annotated[float, Meta(ge=0.01, le=10)] | None = None    # a fifth of it
-    sync: Share | None = None            # ten periods
-    retry: Share | None = None           # ten periods
-    forget: Share = 86400.0
+    sync: Seconds | None = None            # ten periods
+    retry: Seconds | None = None           # ten periods
+    forget: Seconds = 86400.0
     most_members: Annotated[int, Meta(ge=2, le=100_000)] = 5000
     most_datagram: Annotated[int, Meta(ge=256, le=1200)] = 1200
     bytes_per_second: Annotated[float, Meta(ge=2000, le=1e7)] = 32000.0
--- a/gateusher/membership/drains.py
+++ b/gateusher/membership/drains.py
@@ -19,7 +19,7 @@
 
 DRAIN, START = 1, 2          # kinds of words
 BURST_PER_S = 40.0           # words that we say, or take of one origin or relay, a second, and at once
-MOST_CREDITS = 4096
+MOST_KEPT = 4096             # servers that were spoken of, and senders whose words are counted
 AGAIN_MS, FRESH_MS = 4000.0, 30000.0   # a word is said again so often, for so long
 _DRAIN = struct.Struct(">IQ")
 _START = struct.Struct(">IQd")
@@ -40,7 +40,7 @@
         self._wait, self._rng = wait_ms, Random(seed)
         self._known: dict[int, Endpoint] = {}
         self._pending: dict[int, Pending] = {}
-        self._said: dict[int, tuple[State, int]] = {}    # by anybody: the newest list that spoke of it
+        self._said: dict[int, int] = {}                  # by anybody: the version of the list that spoke of it
         self._own = Allowance(BURST_PER_S)
         self._credits: dict[str, Allowance] = {}
         self.left_out = 0                                # words over the bounds
@@ -74,7 +74,7 @@
                 del before[eid]
 
     def _plan(self, now: float, eid: int, state: State, version: int, booted_ms: float) -> None:
-        if self._said.get(eid, (State.READY, -1))[1] < version:
+        if self._said.get(eid, -1) < version:
             due = now + self._rng.random() * self._wait
             self._pending[eid] = Pending(due, now + FRESH_MS, state, version, booted_ms)
 
@@ -86,6 +86,11 @@
         else:
             self._pending.pop(eid, None)
 
+    def _spoken(self, eid: int, version: int) -> None:
+        self._said[eid] = version
+        if len(self._said) > MOST_KEPT:   # whoever lies names servers without end
+            del self._said[next(iter(self._said))]
+
     def tick(self, now: float) -> list[Say]:
         """Words that are due and that nobody else has said."""
         words = []
@@ -96,13 +101,11 @@
             if not self._own.take(now, 1):
                 self.left_out += 1
                 continue
-            self._said[eid] = state, version
+            self._spoken(eid, version)
             if state is State.READY:
                 words.append(Say(START, _START.pack(eid, version % (1 << 64), booted_ms)))
             else:
                 words.append(Say(DRAIN, _DRAIN.pack(eid, version % (1 << 64))))
-        while len(self._said) > MOST_CREDITS:
-            del self._said[next(iter(self._said))]
         return words
 
     def heard(self, now: float, word: Heard) -> Warned | None:
@@ -121,7 +124,7 @@
         if not isfinite(booted_ms):
             return None
         for who in (f"origin {word.origin}", f"relay {word.relay}"):
-            if len(self._credits) >= MOST_CREDITS:
+            if len(self._credits) >= MOST_KEPT:
                 self._credits.clear()
             if not self._credits.setdefault(who, Allowance(BURST_PER_S)).take(now, 1):
                 self.left_out += 1
@@ -129,5 +132,5 @@
         pending = self._pending.get(eid)
         if pending and pending.version <= version and (pending.state is State.READY) == (state is State.READY):
             self._again(now, eid, pending)
-        self._said[eid] = state, version
+        self._spoken(eid, version)
         return Warned(eid, state, version, booted_ms)
--- a/gateusher/membership/machine.py
+++ b/gateusher/membership/machine.py
@@ -81,11 +81,11 @@
     def __init__(self, settings: Membership, born: int, instance: int, seed: int, now: float) -> None:
         self.s, self.rng = settings, Random(seed)
         self.key, self.keys = member_id(settings.name), settings.keys
-        self.incarnation, self.instance, self.began = born % SERIAL, instance, now
+        self.instance, self.began = instance, now
         self.health = 0                      # 0 is well (Lifeguard's local health multiplier less one)
         self.members: dict[bytes, Member] = {}
         self.digest = Digest()
-        self._own = Member(self.key, settings.name, settings.advertise, True, State.ALIVE, self.incarnation, instance,
+        self._own = Member(self.key, settings.name, settings.advertise, True, State.ALIVE, born % SERIAL, instance,
                            now, now)
         self.digest.put(self._own)
         self.news = News(settings.factor)
@@ -117,6 +117,16 @@
 
     # -- from outside
 
+    @property
+    def incarnation(self) -> int:
+        """Our own, which nobody else may raise."""
+        return self._own.incarnation
+
+    @incarnation.setter
+    def incarnation(self, incarnation: int) -> None:
+        self._own.incarnation = incarnation
+        self.digest.put(self._own)
+
     @property
     def due(self) -> float:
         """When the next Tick is wanted."""
@@ -347,7 +357,7 @@
             member.address = source
             self._enlist(member)
         if member.state is State.UNSEEN or newer(header.incarnation, member.incarnation):
-            self._alive(member, header.incarnation, header.instance, relay=member.name)
+            self._alive(member, header.incarnation, header.instance)
         member.heard_at = self.now
         for frame in frames:
             self._take(member, frame)
@@ -420,7 +430,7 @@
         for frame in frames:
             if frame.kind == wire.PING and frame.subject == self.key:
                 member.asks -= 1.0
-                self._send(member, wire.ack(frame.probe, self.key, self._age(), self.health), source, plain=True)
+                self._send(member, self._answer(frame.probe), source, plain=True)
                 break
         wait = min(self.s.timeout_ms, self.s.gossip_ms)
         if self.now - member.tried_at >= wait and self._urgent.left(self.now) > self._urgent.rate / 2:
@@ -448,7 +458,7 @@
         if self.s.learnt:
             member.address = source
             self._enlist(member)
-        self._alive(member, header.incarnation, header.instance, relay=member.name, fresh=True, restarted=other)
+        self._alive(member, header.incarnation, header.instance, fresh=True, restarted=other)
         return True
 
     @staticmethod
@@ -458,14 +468,17 @@
             return instance < other
         return born < other_born
 
-    def _age(self, member: Member | None = None) -> int:
-        return int(max(0.0, self.now - (member.born if member else self.began)) / wire.AGE_MS)
+    def _age(self, member: Member) -> int:
+        return int(max(0.0, self.now - member.born) / wire.AGE_MS)
+
+    def _answer(self, probe: int) -> bytes:
+        return wire.ack(probe, self.key, self._age(self._own), self.health)
 
     def _take(self, relay: Member, frame: Frame) -> None:
         kind = frame.kind
         if kind == wire.PING:
             if frame.subject == self.key:
-                self._send(relay, wire.ack(frame.probe, self.key, self._age(), self.health) + self._doubt(relay))
+                self._send(relay, self._answer(frame.probe) + self._doubt(relay))
             else:
                 self._drop("not for us")
         elif kind == wire.ACK:
@@ -481,11 +494,11 @@
             member = self.members.get(frame.subject)
             if frame.subject != self.key and member and member.instance == frame.instance \
                     and newer(frame.incarnation, member.incarnation):
-                self._alive(member, frame.incarnation, frame.instance, relay=relay.name)
+                self._alive(member, frame.incarnation, frame.instance)
         elif kind in (wire.SUSPECT, wire.FAILED):
-            self._doubted(relay, frame)
+            self._doubted(frame)
         elif kind == wire.LEFT:
-            self._gone(relay, frame)
+            self._gone(frame)
         elif kind == wire.DIGEST:
             self._compare(relay, frame)
         elif kind == wire.WORD:
@@ -538,7 +551,7 @@
         if before != state or restarted:
             self.acts.append(Changed(member.name, before, state, incarnation, restarted, by))
 
-    def _alive(self, member: Member, incarnation: int, instance: int, relay: str, fresh: bool = False,
+    def _alive(self, member: Member, incarnation: int, instance: int, fresh: bool = False,
                restarted: bool = False) -> None:
         known = member.instance == instance and member.state not in (State.UNSEEN, State.LEFT)
         joined = fresh or not known
@@ -568,12 +581,10 @@
                 return None
             if member.instance != frame.instance:
                 member.window, member.born = None, born    # it has yet to prove itself to us
-                restarted = member.instance != 0
-            else:
-                restarted = False
             if self.s.learnt and frame.address:
                 member.address = frame.address
-            return self._alive(member, frame.incarnation, frame.instance, relay.name, restarted=restarted)
+            restarted = member.instance not in (0, frame.instance)
+            return self._alive(member, frame.incarnation, frame.instance, restarted=restarted)
         if member.state is State.UNSEEN:
             member.instance, member.born = frame.instance, born
             self._to(member, frame.state, frame.incarnation)
@@ -607,12 +618,9 @@
         """Come above what is said of us; others learn it from every datagram of ours."""
         if not newer(self.incarnation, incarnation):
             self.incarnation = (incarnation + 1) % SERIAL
-            self._own.incarnation = self.incarnation
-            self.digest.put(self._own)
-        self.news.put(self.key, wire.join(self.s.name, State.ALIVE, self.incarnation, self.instance, self._age(),
-                                          self.s.advertise))
+        self.news.put(self.key, self._record(self._own))
 
-    def _doubted(self, relay: Member, frame: Frame) -> None:
+    def _doubted(self, frame: Frame) -> None:
         if frame.subject == self.key:
             if not newer(self.incarnation, frame.incarnation):
                 self._unwell(1)
@@ -661,7 +669,7 @@
         self._to(member, State.FAILED, member.incarnation, by=self._name(by))
         self.news.put(member.key, wire.failed(member.key, member.incarnation, by))
 
-    def _gone(self, relay: Member, frame: Frame) -> None:
+    def _gone(self, frame: Frame) -> None:
         if frame.subject == self.key:
             return self._object(frame.incarnation)
         if member := self.members.get(frame.subject):
@@ -707,7 +715,7 @@
             records = list(self.digest.members(part))
             self.rng.shuffle(records)
             for member in records:
-                record = self._record(member) if member is not self._own else self._self_record()
+                record = self._record(member)
                 if len(frames) + len(record) > room:
                     if sent + 1 >= MOST_SYNC or not self._send(relay, frames, bulk=True):
                         return
@@ -716,9 +724,6 @@
         if frames:
             self._send(relay, frames, bulk=True)
 
-    def _self_record(self) -> bytes:
-        return wire.join(self.s.name, State.ALIVE, self.incarnation, self.instance, self._age(), self.s.advertise)
-
     # -- words of other pieces
 
     def _say(self, event: Say) -> None:
@@ -779,7 +784,7 @@
             self.sent["held back"] += 1
             return False
         if not plain and member.window is None and self.s.learnt and not frames.startswith(bytes((wire.JOIN,))):
-            own = self._self_record()   # a stranger has to learn our name before it can answer
+            own = self._record(self._own)   # a stranger has to learn our name before it can answer
             if len(own) <= room:
                 frames, room = frames + own, room - len(own)
         if not plain and len(self.news) and member.window is not None and not bulk:
--- a/gateusher/membership/wire.py
+++ b/gateusher/membership/wire.py
@@ -15,6 +15,7 @@
 import struct
 from typing import Final, NamedTuple
 
+from ..config.membership import MOST_NAME
 from .interface import ID_BYTES, Address, State
 
 MAGIC: Final = b"Gm"
@@ -22,7 +23,6 @@
 HEADER = struct.Struct(">2sBB6sIQQ")
 TAG: Final = 16
 OVERHEAD: Final = HEADER.size + TAG
-MOST_NAME: Final = 64      # bytes
 MOST_WORD: Final = 64      # bytes of another piece's word
 MOST_DATAGRAM: Final = 1200
 LEAST_DATAGRAM: Final = 256
--- a/rig/processes.py
+++ b/rig/processes.py
@@ -13,7 +13,7 @@
 from .history import History
 
 ROOT = Path(__file__).parents[1]
-UP_S, END_S = 60.0, 60.0     # only what never comes takes so long
+END_S = 60.0     # only what never comes takes so long
 
 
 class Process:
@@ -137,11 +137,6 @@
                 os.write(self._clock, f"{command}\n".encode())
             self.history.note("clock", who=self.name, command=command)
 
-    def reload(self, config: str) -> None:
-        """Another file, and SIGHUP."""
-        self.path.write_text(config)
-        self.signal(signal.SIGHUP)
-
     async def close(self) -> None:
         """No process is left, whatever happened: where two faults met, also one that was replaced and never ended."""
         for child in self._children:
--- a/rig/world.py
+++ b/rig/world.py
@@ -27,7 +27,7 @@
 CLASSES = {"look": ("GET", 1.0), "issue": ("POST", 1.0)}   # method, deadline in seconds
 POLL_S = 0.1
 LATE_S = 30.0        # an answer that comes later than this after its deadline is none
-KEYS = ("00112233445566778899aabbccddeeff", "ffeeddccbbaa99887766554433221100")
+KEYS = ["00112233445566778899aabbccddeeff"]
 CONFIG = """\
 name = "{name}"
 listen = "{ip}:8080"
@@ -94,7 +94,6 @@
         self.ip = {name: f"{net}.{i + 1}" for i, name in enumerate(self.names)}
         self.seen = Seen(self.history)
         self.nodes = {f"n{k + 1}": Node(self.seen, f"n{k + 1}") for k in range(day.nodes)}
-        self.states: dict[str, dict[str, Any]] = {}
         self.lists: dict[str, Catalog] = {}
         self.ways: dict[tuple[str, str], Datagrams] = {}
         self.streams: dict[tuple[str, str], Streams] = {}    # (member, node's name or "list")
@@ -145,17 +144,16 @@
         await asyncio.gather(*(p.run() for p in self.processes.values()))
         await asyncio.gather(*(self.ready(name) for name in self.names))
 
-    def config(self, name: str, keys: tuple[str, ...] = KEYS[:1]) -> str:
+    def config(self, name: str) -> str:
         peers = [f"{other}@127.0.0.1:{self.ways[name, other].port}" for other in self.names if other != name]
         return CONFIG.format(
             name=name, ip=self.ip[name], control=self.folder / name / "control.sock",
-            list=self.streams[name, "list"].port, peers=json.dumps(peers), keys=json.dumps(list(keys)),
+            list=self.streams[name, "list"].port, peers=json.dumps(peers), keys=json.dumps(KEYS),
             period=self.day.period, retry=2 * self.day.period, rate=self.day.bytes_per_second,
             drains="true" if self.day.drains else "false")
 
     def _line(self, name: str, node: str, health: str = "Ready", **more: object) -> dict[str, Any]:
-        line = {**self.nodes[node].entry(health), **self.states.get(node, {}), **more}
-        return {**line, "dial": f"127.0.0.1:{self.streams[name, node].port}"}
+        return {**self.nodes[node].entry(health, **more), "dial": f"127.0.0.1:{self.streams[name, node].port}"}
 
     async def ready(self, name: str) -> None:
         """Until this member's newest process serves."""
@@ -277,19 +275,18 @@
         pairs = [(a, b) for a in some for b in others if a != b]
         if fault.what not in ("one-way",):
             pairs += [(b, a) for a, b in pairs]
-        ways = [self.ways[pair].way for pair in dict.fromkeys(pairs)]
-        whole = [self.ways[pair] for pair in dict.fromkeys(pairs)]
+        links = [self.ways[pair] for pair in dict.fromkeys(pairs)]
         name = {"one-way": "cut", "stall": "stalled"}.get(fault.what, fault.what)
-        for way in ways:
+        for link in links:
             if name in ("cut", "stalled"):
-                setattr(way, name, True)
+                setattr(link.way, name, True)
             elif name == "delay":
-                way.delay, way.delayed = fault.by, fault.share
+                link.way.delay, link.way.delayed = fault.by, fault.share
             else:
-                setattr(way, name, fault.share)
+                setattr(link.way, name, fault.share)
 
         async def mend() -> None:
-            for link in whole:
+            for link in links:
                 if name in ("cut", "stalled"):
                     setattr(link.way, name, False)
                     if name == "stalled":
@@ -306,22 +303,18 @@
             streams = [self.streams[name, "list"] for name in whom]
         else:
             streams = [self.streams[name, node] for name in whom for node in self.nodes]
-        for stream in streams:
-            if fault.what == "stream-reset":
-                stream.reset()
-            elif fault.what == "stream-silent":
-                stream.silence(True)
-            else:
-                stream.stall(True)
         if fault.what == "stream-reset":
+            for stream in streams:
+                stream.reset()
             return None
 
-        async def mend() -> None:
+        def hold(held: bool) -> None:
             for stream in streams:
-                if fault.what == "stream-silent":
-                    stream.silence(False)
-                else:
-                    stream.stall(False)
+                (stream.silence if fault.what == "stream-silent" else stream.stall)(held)
+
+        async def mend() -> None:
+            hold(False)
+        hold(True)
         return mend
 
     def _tell(self, fault: Fault) -> None:
