Pushed lists are followed; half a list keeps no watch alive; lists may be indented

Cause: only the module opens a watch (brain._news, _fell_short), and only where lists are asked for; on a pushed deployment nobody ever called Discovery.watch, so the list at the start held for good.

- Discovery opens the watch itself where lists are pushed, from the first moment, and calls the agent again at once when it fails or is silent: first answer within a quarter of the grace of the settings (0.5 s at most), silence after 3 s.
The module is told nothing of that.
- Any byte put the end of a silent watch off, so half a line that never ends held a list for good: only what is whole counts now, and a list has to be whole within a quarter of the grace (1 s at most).
- A call may take 4.5 s, not 6: what a silent call misses counts as told 6 s after the silence began, and the next answer must be there.
- What is unread in the kernel is no silence (timers come before reads in a turn of the loop); a watch that was ended while it came up asks nothing.

--- a/checker/world.py
+++ b/checker/world.py
@@ -152,7 +152,7 @@
 # What a world stands in for, and puts back when it is closed.
 PATCHED = ((node_module, "Clock"), (client_module, "time"), (upstream_module, "select"), (upstream_module, "say"),
            (listener_module, "select"), (listener_module, "socket"), (listener_module, "say"),
-           (upstream_module, "MOST_BODY"), (catalog_module, "say"), (fixed_module, "say"),
+           (upstream_module, "MOST_BODY"), (catalog_module, "say"), (catalog_module, "select"), (fixed_module, "say"),
            (daemon_module, "DRAIN_STEP_S"), (machine.Table, "illegal"))
 
 
--- a/gateusher/discovery/catalog.py
+++ b/gateusher/discovery/catalog.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import json
+import re
+import select
 from collections.abc import Callable
 from hashlib import blake2b
-from math import isfinite
+from math import inf, isfinite
 from typing import Any, NamedTuple, cast
 
 import httptools
@@ -16,12 +18,19 @@
 from ..base.log import say
 
 STATES = {"Ready": State.READY, "Terminating": State.DRAINING, "Gone": State.GONE}
-FIRST_S = 6.0        # how long a call may take until its first bytes
+# What is missed counts as told 6 s after the silence began (STANDING): the next call's answer has to be here by then.
 SILENT_S = 4.5       # a watch says something every 2 s: two missed heartbeats and it is broken
+FIRST_S = SILENT_S   # how long a call may take until it is answered; one that waits in turn fails on its own before
 MOVE_S = 6.0         # how long a new address is tried anew at once before the module's own waits hold again
 MOVE_STEP_S = 0.2    # from one such try to the next
 MOVE_FIRST_S = 1.5   # how long such a try may take until its first bytes
-MOST_LINE = 8 << 20  # bytes of one line, far more than any list
+PUSH_STEP_S = 0.1    # where lists are pushed: from a call of the agent that failed to the next
+PUSH_FIRST_S = 0.5   # how long it may take to answer, at most: it has what it says at hand
+PUSH_SILENT_S = 3.0  # one missed heartbeat is enough, as a new call costs nobody anything
+LIST_S = 1.0         # a list is whole so long after its first byte, at most
+GRACE_PART = 4       # such waits take one part in so many of the grace that the settings give after a drain is told
+MOST_LINE = 8 << 20  # bytes of one list, far more than any
+TEXT = re.compile(rb'"(?:[^"\\]|\\.)*"')
 MOST_CELL = 65535
 
 
@@ -94,12 +103,34 @@
     return seq, whole, lines
 
 
+def _depth(line: bytes) -> int:
+    """How many brackets a line of JSON opens more than it closes; a text never goes on in the next (RFC 8259, 7)."""
+    depth = _balance(line)
+    return _balance(TEXT.sub(b"", line)) if depth else 0
+
+
+def _balance(line: bytes) -> int:
+    return line.count(b"{") + line.count(b"[") - line.count(b"}") - line.count(b"]")
+
+
 class Discovery:
-    """Follows the list for as long as the module wants it."""
+    """Follows the list for as long as the module wants it, or from `cached` on where lists are pushed.
+
+    Lists that are pushed are there without being asked for, as far as the module knows: what it takes to have them
+    is done here.  The agent that holds them is on this machine and answers at once and for nothing, and what it has
+    counts as told from the first moment, so it is called again at once whenever it fails.  `grace_ms` is how long the
+    settings let a sidecar go on after it was told of a drain.
+    """
 
     def __init__(self, where: tuple[str, int], names: Names, news: Callable[[ListNews], None],
-                 update: Callable[[list[HostLine], bool], None], knows: Callable[[HostLine], bool]) -> None:
-        self._where, self._names = where, names
+                 update: Callable[[list[HostLine], bool], None], knows: Callable[[HostLine], bool],
+                 pushed: bool = False, grace_ms: float = 4000.0) -> None:
+        self._where, self._names, self._pushed = where, names, pushed
+        # Neither a call that is lost while the agent is silent nor a list that breaks off may use up the grace.
+        part_s = max(0.1, grace_ms / 1000 / GRACE_PART)
+        self._push_first_s, self.list_s = min(PUSH_FIRST_S, part_s), min(LIST_S, part_s)
+        self.silent_s = PUSH_SILENT_S if self._pushed else SILENT_S
+        self._said = ""          # why the watch ended last
         self._news, self._update, self._knows = news, update, knows
         self._loop = asyncio.get_running_loop()
         self._watch: _Watch | None = None
@@ -117,12 +148,15 @@
             say("known list not used", error)
             lines = []
         self._tell(ListKind.CACHED, lines)
+        if self._pushed:
+            self.watch()
 
     def watch(self) -> None:
         if self._watch is None:
             moving = self._loop.time() < self._move_by
+            first_s = self._push_first_s if self._pushed else MOVE_FIRST_S if moving else FIRST_S
             self._watch = _Watch(self)
-            self._watch.open(self._loop, self._where, MOVE_FIRST_S if moving else FIRST_S)
+            self._watch.open(self._loop, self._where, first_s)
 
     def move(self, where: tuple[str, int]) -> None:
         """Follow the list at another address from now on; the list in hand is kept until that one speaks.
@@ -152,16 +186,21 @@
         """The watch has ended: once for each, the module is told, and it decides when to ask again."""
         if watch is not self._watch:
             return
-        say("watch ended", why)
+        if not self._pushed or str(why) != self._said:
+            say("watch ended", why)  # an agent that is down is called ten times a second
+        self._said = str(why)
         self.stop()
-        if self.lost_track and self._loop.time() < self._move_by:
+        if self._pushed:
+            self._again = self._loop.call_later(PUSH_STEP_S, self.watch)
+        elif self.lost_track and self._loop.time() < self._move_by:
             self._again = self._loop.call_later(MOVE_STEP_S, self.watch)
         else:
             self._news(ListNews(ListKind.FAILED, 0, ()))
 
     def sweep(self) -> None:
         watch = self._watch
-        if watch and self._loop.time() > watch.silent_at:
+        # Timers come before reads in a turn of the loop: after a pause of ours, what it said may still be unread.
+        if watch and self._loop.time() > min(watch.silent_at, watch.list_by) and not watch.unread:
             self.failed(watch, "silent for too long")
 
     def take(self, line: bytes, fresh: bool) -> None:
@@ -176,7 +215,7 @@
         if seq < self.seq and not fresh:
             self.lost_track = True
             raise LineError(f"version went back from {self.seq} to {seq}")
-        self.seq = seq
+        self.seq, self._said = seq, ""
         self.heard.set()
         if fresh:
             self.lost_track = False
@@ -194,20 +233,29 @@
 
 
 class _Watch(asyncio.Protocol):
-    """One connection to discovery: the watch, after the whole list where track was lost."""
+    """One connection to discovery: the watch, after the whole list where track was lost.
+
+    Only what is whole counts as a word of it: a head, an empty line, a list.  Bytes that never become one, as of half
+    a line, put nothing off.  A list may be indented, and then takes several lines.
+    """
 
     def __init__(self, owner: Discovery) -> None:
         self._owner = owner
         self._parser = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
+        self._poller: select.poll | None = None
         self._task: asyncio.Task[None] | None = None
         self._fresh = owner.lost_track  # this answer is the whole list, not yet the watch
         self._line = bytearray()
+        self._part = bytearray()        # a list that goes on in the next line
+        self._open = 0                  # brackets that are open there
         self._status, self._over = 0, False
+        self._closed = self._spoke = False
         self.silent_at = 0.0
+        self.list_by = inf              # until then the list that has begun must be whole
 
     def open(self, loop: asyncio.AbstractEventLoop, where: tuple[str, int], first_s: float) -> None:
-        self._loop, self._host = loop, f"{where[0]}:{where[1]}"
+        self._loop, self._host, self._first_s = loop, f"{where[0]}:{where[1]}", first_s
         self.silent_at = loop.time() + first_s
         self._task = loop.create_task(self._dial(where))
 
@@ -218,11 +266,17 @@
             self._owner.failed(self, error)
 
     def close(self) -> None:
+        self._closed = True
         if self._task:
             self._task.cancel()
         if self._transport:
             self._transport.abort()
 
+    @property
+    def unread(self) -> bool:
+        """Something has come that the loop has not handed over yet."""
+        return bool(self._transport and not self._transport.is_closing() and self._poller and self._poller.poll(0))
+
     def _ask(self) -> None:
         path = "" if self._fresh else f"?watch=1&from={self._owner.seq}"
         if self._transport:
@@ -231,6 +285,11 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport, self._task = cast(asyncio.Transport, transport), None
+        if self._closed:
+            self._transport.abort()  # nobody wants it any more, and a call costs the service
+            return
+        self._poller = select.poll()
+        self._poller.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
         self._ask()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -239,17 +298,26 @@
         del self._parser  # it holds this object too
 
     def data_received(self, data: bytes) -> None:
-        self.silent_at = self._loop.time() + SILENT_S
+        if self._closed:
+            return
+        self._spoke = False
         try:
             self._parser.feed_data(data)
-            if self._line and len(self._line) > MOST_LINE:
+            if len(self._line) + len(self._part) > MOST_LINE:
                 raise LineError("line too long")
             self._lines()
         except (LineError, httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._owner.failed(self, error)
+        if self._spoke:
+            self.silent_at = self._loop.time() + self._owner.silent_s
+        if self._fresh or not (self._line or self._part):
+            self.list_by = inf
+        elif self._spoke or self.list_by == inf:
+            self.list_by = self._loop.time() + self._owner.list_s
 
     def on_headers_complete(self) -> None:
         self._status = self._parser.get_status_code()
+        self._spoke = True
 
     def on_body(self, data: bytes) -> None:
         if self._status == 200:
@@ -266,11 +334,36 @@
                 self._owner.take(line, True)
                 self._fresh = False
                 self._ask()
+                self._spoke, self.silent_at = False, self._loop.time() + self._first_s  # a call like the first
         elif b"\n" in self._line:
             *lines, rest = bytes(self._line).split(b"\n")
             self._line = bytearray(rest)
             for line in lines:
-                if line.strip():
-                    self._owner.take(line, False)
+                self._one(line)
         if self._over:
             raise LineError(f"ended with status {self._status}")
+
+    def _one(self, line: bytes) -> None:
+        """A line: a list, a part of one that is indented, or nothing, which says that the watch is alive."""
+        if not line.strip():
+            if self._part:
+                self._broke_off()
+            self._spoke = True
+            return
+        depth = _depth(line)
+        if self._part and line[:1] == b"{" and depth == 0:
+            self._broke_off()  # a whole list in the middle of another
+        if not self._part and depth <= 0:
+            self._owner.take(line, False)
+            self._spoke = True
+            return
+        self._part += line
+        self._open += depth
+        if self._open <= 0:
+            whole, self._part, self._open = bytes(self._part), bytearray(), 0
+            self._owner.take(whole, False)
+            self._spoke = True
+
+    def _broke_off(self) -> None:
+        self._owner.lost_track = True
+        raise LineError("a list broke off")
--- a/gateusher/node.py
+++ b/gateusher/node.py
@@ -63,7 +63,8 @@
             news, update = self.gate.news, self.gate.update
         self.discovery: Discovery | Fixed
         if config.discovery:
-            self.discovery = Discovery(config.discovery, config.names, news, update, self.upstream.knows)
+            self.discovery = Discovery(config.discovery, config.names, news, update, self.upstream.knows,
+                                       not settings.must_ask, settings.drain_grace_ms)
         else:
             from .discovery.fixed import Fixed  # noqa: PLC0415 - the platform's daemon starts without it
 
