A dial that times out as it comes up no longer passes for one that never connected

By reading: the loop (uvloop and asyncio) calls connection_made between the time-out's cancel and the dial task's next step, so the request was written; Upstream._dial then ended the attempt as CONNECT_FAILED, which proves that it never ran, and an unsafe request went out a second time. The window is all that the loop does between a connection's coming up and its next turn; milliseconds on a slow core, against a limit of 250 ms. Ruled out: closing while writing (uvloop writes at once at a high-water mark of 0), dials that were given up (state closed, nothing written).

- The connection's own state decides: a timer ends it while it is dialling and does nothing once it is up; what comes up later is aborted unwritten.
No connection on which a request is out is closed for a dial's limit any more.
- The table: from `sent` an attempt ends as turned away or as one that may have run, never as void; anything else is a logged illegal move and counts as reset.

--- a/gateusher/core/states.py
+++ b/gateusher/core/states.py
@@ -14,7 +14,8 @@
 to be had. What matters about it is one thing: whether its last byte has left. Until then the endpoint can't
 have begun it, so any end is *void*: it never ran, and the request may go elsewhere or be refused, whatever its
 class. From **sent** on it may run, whatever becomes of the connection; only the endpoint's own word that it
-turned it away makes the end void again. An attempt ends once, and that tells the core its outcome.
+turned it away proves otherwise, and the table has no other end that promises so. An attempt ends once, and that
+tells the core its outcome.
 
 A *connection* carries one attempt at a time. **Quiet** is the dangerous state: nothing is owed, so the first
 byte that comes proves that the endpoint and we no longer agree on what belongs to what, and the connection is
--- a/gateusher/upstream/http.py
+++ b/gateusher/upstream/http.py
@@ -22,8 +22,8 @@
 from ..base.machine import IllegalMoveError
 from .interface import HOP, LEAST_MS, NEVER_RAN, NO_REPLY, Attempt, Headers, Reply, Rest, Sink
 from .states import (ALL, BEGIN, BEGUN, CARRY, CLOSE, CLOSED, CONNECTION, DIALLING, DONE, END, ENDED, EXTRA, HAND,
-                     HEAD, HEADED, INTERIM, KEEP, MORE, PART, PARTLY, PASS, PASSING, QUIET, SENT, SPOIL, SPOILT, UP,
-                     VOID, WAITING, WHOLE)
+                     HEAD, HEADED, INTERIM, KEEP, MORE, PART, PARTLY, PASS, PASSING, QUIET, SENT, SPOIL, SPOILT, TURN,
+                     UP, VOID, WAITING, WHOLE)
 
 MOST_BODY = 65536       # an answer's body that is held; a longer one is passed on as it comes, where that is possible
 MOST_PASSED = 64 << 20  # and one longer than that is no answer of this service's
@@ -63,6 +63,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
         self.dial: asyncio.Task[None] | None = None
+        self._late: asyncio.TimerHandle | None = None   # until it must be up
         self.attempt: Attempt | None = None
         self.idle_since = self.heard_ms = self._begun_ms = 0.0
         self.state: str = DIALLING  # see core/states.py; this object alone moves it
@@ -83,6 +84,24 @@
     def _move(self, event: str) -> None:
         self.state = CONNECTION.move(self.state, event)
 
+    def wait(self, dial_s: float) -> None:
+        """Be up so soon, or never.
+
+        Its own state decides, not the dial's task: a loop calls `connection_made` even where it has cancelled the
+        task in that turn, and closes a connection on which the request is already out.
+        """
+        self._late = self._up.loop.call_later(dial_s, self._too_late)
+
+    def _too_late(self) -> None:
+        self._late = None
+        if self.attempt and self.state == DIALLING:
+            self.stop(Outcome.CONNECT_FAILED)
+
+    def _in_time(self) -> None:
+        if self._late:
+            self._late.cancel()
+            self._late = None
+
     def carry(self, attempt: Attempt) -> None:
         """Send this attempt, now or as soon as the connection is up."""
         attempt.move(HAND)
@@ -180,6 +199,7 @@
         self._poller = select.poll()
         self._poller.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
         self.dial = None
+        self._in_time()
         if self.attempt and self.state == DIALLING:
             self._move(UP)
             if self._overtaken(self.attempt):
@@ -196,7 +216,7 @@
         self._up.lost(self)
         self._end_rest(False)
         if self.attempt:
-            self._break()
+            self.broke()
         del self._parser  # it holds this object too
 
     def eof_received(self) -> None:
@@ -213,6 +233,7 @@
     def close(self) -> None:
         if self.state != CLOSED:
             self._move(CLOSE)
+        self._in_time()
         if self.dial:
             self.dial.cancel()
         if self._transport:
@@ -443,7 +464,7 @@
             headers = [h for h in headers if h[0] not in named]
         return Reply(self._status, headers, b"".join(self._held) if self._held else b"")
 
-    def _break(self) -> None:
+    def broke(self) -> None:
         """The connection broke: whether the last byte was out decides."""
         self.stop(Outcome.RESET if self._written else Outcome.CONNECT_FAILED)
 
@@ -641,6 +662,7 @@
         conn = Connection(self, host)
         self._conns.add(conn)
         dial = conn.dial = self.loop.create_task(self._dial(conn))
+        conn.wait(self._dial_s)
         # Not in the task itself: one that is cancelled before its first step never runs a line of it, and the
         # descriptor would never be given back.
         dial.add_done_callback(lambda task: self.lost(conn) if task.cancelled() else None)
@@ -648,12 +670,11 @@
 
     async def _dial(self, conn: Connection) -> None:
         try:
-            async with asyncio.timeout(self._dial_s):
-                await self.loop.create_connection(lambda: conn, conn.host.ip, conn.host.port)
-        except (OSError, TimeoutError):
+            await self.loop.create_connection(lambda: conn, conn.host.ip, conn.host.port)
+        except OSError:
             conn.dial = None
             if conn.attempt:
-                conn.stop(Outcome.CONNECT_FAILED)
+                conn.broke()
             self.lost(conn)
 
     def _expired(self, attempt: Attempt) -> None:
@@ -687,7 +708,7 @@
     def report(self, attempt: Attempt, outcome: Outcome, text: bytes, reply: Reply = NO_REPLY) -> None:
         """Hand an attempt back with its outcome."""
         try:
-            attempt.move(VOID if outcome in NEVER_RAN else DONE)
+            attempt.move(TURN if outcome is Outcome.FULL else VOID if outcome in NEVER_RAN else DONE)
         except IllegalMoveError:
             if attempt.state == ENDED:
                 return  # its one outcome was told: the core must not hear another
--- a/gateusher/upstream/states.py
+++ b/gateusher/upstream/states.py
@@ -17,14 +17,15 @@
 HAND: Final = "hand over"     # by the connections, to one of theirs
 PART: Final = "write a part"  # by the connection: the kernel took less than all
 ALL: Final = "write all"      # by the connection: all of it, or the rest of it
-VOID: Final = "end, never run"   # by the connection, with an outcome that proves that it never ran
+VOID: Final = "end, never run"   # by the connection, with an outcome that proves it: not all of it was written
+TURN: Final = "end, turned away"  # by the connection, when its endpoint says that it has not begun it
 DONE: Final = "end, may have run"  # by the connection, with any other
 
 ATTEMPT = Table("attempt", {
     MADE: {HAND: UNSENT, VOID: ENDED},
     UNSENT: {PART: PARTLY, ALL: SENT, VOID: ENDED},
-    PARTLY: {ALL: SENT, VOID: ENDED},
-    SENT: {DONE: ENDED, VOID: ENDED},   # void: turned away, or its connection refused what it was sent
+    PARTLY: {ALL: SENT, VOID: ENDED, TURN: ENDED},
+    SENT: {DONE: ENDED, TURN: ENDED},   # nothing on our side proves any more that it never ran
     ENDED: {},
 })
 
--- /dev/null
+++ b/tests/standing/test_crossings.py
@@ -0,0 +1,118 @@
+"""Two events in one turn of the loop, on real sockets, the crossing forced: see docs/design/crossings.md."""
+
+import asyncio
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import pytest
+import uvloop
+
+from gateusher.core.engine import Engine
+from gateusher.policy.interface import Outcome
+from gateusher.upstream import http as upstream
+from gateusher.upstream.states import ATTEMPT, DONE, SENT, TURN, VOID
+
+from ..helpers import HANG_S
+from ..net import Endpoint, Rig, configuration, look, pay, rig
+
+LOOPS = pytest.mark.parametrize("loop", [asyncio.new_event_loop, uvloop.new_event_loop], ids=["asyncio", "uvloop"])
+Story = Callable[[], Coroutine[Any, Any, None]]
+
+
+def hasty(dial_s: float, **rules: float) -> dict[str, Any]:
+    """The settings, with so little time for a connection to come up."""
+    settings: dict[str, Any] = configuration([], 1)["settings"]
+    settings["bounds"]["dial_timeout_ms"] = dial_s * 1000
+    settings["rules"] |= rules
+    return settings
+
+
+def play(story: Story, loop: Callable[[], asyncio.AbstractEventLoop]) -> None:
+    with asyncio.Runner(loop_factory=loop) as runner:
+        runner.run(story())
+
+
+def outcomes(monkeypatch: pytest.MonkeyPatch) -> list[Outcome]:
+    """What the core is told of attempts, from here on."""
+    told: list[Outcome] = []
+    ended = Engine.ended
+
+    def hear(self: Engine, attempt: Any, outcome: Outcome, *rest: Any) -> None:
+        told.append(outcome)
+        ended(self, attempt, outcome, *rest)
+    monkeypatch.setattr(Engine, "ended", hear)
+    return told
+
+
+ASKED = pytest.mark.parametrize("asked", [pay("p1"), look("l1")], ids=["unsafe", "safe"])
+
+
+async def idle(r: Rig) -> None:
+    """Every descriptor but the list's is given back once all that is idle is closed."""
+    node = r.sidecar.node
+    async with asyncio.timeout(HANG_S):
+        while node.upstream._conns or r.sidecar.server._clients:
+            for eid in list(node.upstream._hosts):
+                node.upstream.close_idle(eid)
+            await asyncio.sleep(0)
+    assert node.descriptors.used == 0
+
+
+@LOOPS
+@ASKED
+def test_a_dial_whose_time_is_over_in_the_turn_in_which_it_comes_up(
+        loop: Callable[[], asyncio.AbstractEventLoop], asked: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The request is written and then the dial's time is over, before the dial's task has run on.
+
+    It was said to have failed to connect, so an unsafe request went out a second time.
+    """
+    told, made, dials = outcomes(monkeypatch), upstream.Connection.connection_made, list[object]()
+
+    def come_up(self: upstream.Connection, transport: asyncio.BaseTransport) -> None:
+        made(self, transport)
+        dials.append(self)
+        by = time.monotonic() + 0.06
+        while len(dials) == 1 and time.monotonic() < by:
+            pass  # the loop stands still until the time is over
+
+    monkeypatch.setattr(upstream.Connection, "connection_made", come_up)
+
+    async def story() -> None:
+        ends = [Endpoint(), Endpoint()]
+        async with rig(*ends, settings=hasty(0.04)) as r:
+            head, _ = await r.ask(asked)
+            assert head.startswith(b"HTTP/1.1 200") and told == [Outcome.OK]
+            assert len(ends[0].seen) + len(ends[1].seen) == 1
+            await idle(r)
+    play(story, loop)
+
+
+@LOOPS
+@ASKED
+def test_a_dial_whose_time_is_over_just_before_it_comes_up(
+        loop: Callable[[], asyncio.AbstractEventLoop], asked: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The other order: the connection is there and the loop has not said so yet.  Nothing is written on it."""
+    told, made, dials = outcomes(monkeypatch), upstream.Connection.connection_made, list[object]()
+
+    def come_up(self: upstream.Connection, transport: asyncio.BaseTransport) -> None:
+        dials.append(self)
+        if len(dials) == 1:
+            self._too_late()
+        made(self, transport)
+
+    monkeypatch.setattr(upstream.Connection, "connection_made", come_up)
+
+    async def story() -> None:
+        ends = [Endpoint(), Endpoint()]
+        async with rig(*ends) as r:
+            head, _ = await r.ask(asked)
+            assert head.startswith(b"HTTP/1.1 200") and told == [Outcome.CONNECT_FAILED, Outcome.OK]
+            assert len(ends[0].seen) + len(ends[1].seen) == 1
+            await idle(r)
+    play(story, loop)
+
+
+def test_no_end_of_an_attempt_that_is_out_promises_that_it_never_ran() -> None:
+    """Only its endpoint's own word does."""
+    assert VOID not in ATTEMPT.moves[SENT] and set(ATTEMPT.moves[SENT]) == {DONE, TURN}
