The planned end answers who waits before it closes; a signal in the start waits for it

By reading: at the end of a drain three timers lie at one moment: the drain's step (closes every connection at since >= end_s), the attempts' ends (at the deadline, which end_by has cut) and the core's own (10 ms later for what was taken after SIGTERM). Whichever came first won; where the step did, the connection was closed with the answer still owed. The step comes every 20 ms, so about one end in twenty with a request in hand. Sidecar.close closed the listener before the core's last answers too.

- Server.drained lets the core answer all that is open (Engine.expire), then closes; Sidecar.close likewise.
- An answer that is being passed on is cut so that its reader can tell, also one of HTTP/1.0 that only the end delimits.
- A connection that is given up while the loop takes it in is closed when it is made; nothing did.
- SIGTERM and SIGINT wait until the start is through, as SIGHUP did: with an operators' address the start takes some turns of the loop, with a predecessor half a second, and a request taken in it died with the process.

tests/standing/test_end.py: the listener's end forced before the deadlines' on both loops, one behind another, half a long body, a close at once, a signal in the start (a real process).

--- a/gateusher/cli/run.py
+++ b/gateusher/cli/run.py
@@ -21,6 +21,9 @@
 from ..handover.channel import Inherited
 
 
+SIGNALS = {signal.SIGHUP, signal.SIGTERM, signal.SIGINT}
+
+
 def load(path: str | None, env: Mapping[str, str], before: Config | None = None) -> Config:
     """A TOML file where one is named, the platform's JSON otherwise."""
     if path is None:
@@ -61,7 +64,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, sidecar.drain)
     loop.add_signal_handler(signal.SIGHUP, reload, sidecar, path, os.environ)
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
     gc.freeze()
     gc.set_threshold(20000, 20, 50)
     await sidecar.ended.wait()
@@ -70,7 +73,8 @@
 
 def run(path: str | None) -> int:
     """Serve until a signal ends it."""
-    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})  # one that comes before we are up waits
+    # One that comes before we are up waits: clients may be here already, and are owed their answers.
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     attach()
     try:
         config = load(path, os.environ)
--- a/gateusher/core/engine.py
+++ b/gateusher/core/engine.py
@@ -276,6 +276,11 @@
                 left = (latest_ms - self._clock.now()) / 1000
                 call.timer = self._call_later(left, self._overdue, call)
 
+    def expire(self) -> None:
+        """Time is up for all that is open: each gets its answer now, whichever timer would have come first."""
+        for call in list(self.calls.values()):
+            self._overdue(call)
+
     def retune(self, settings: Settings, methods: tuple[frozenset[bytes], ...],
                fresh: tuple[tuple[int, int | None], ...], live: tuple[int, ...]) -> None:
         """Other settings for what comes from now on; see `Retuned`."""
@@ -284,8 +289,8 @@
 
     def close(self) -> None:
         """End at once: what is open gets its final answer, what is out is given up, no timer is left."""
+        self.expire()
         for call in list(self.calls.values()):
-            self._overdue(call)
             for attempt in list(call.attempts.values()):
                 self._stop(attempt)
         for timer in self._timers:
--- a/gateusher/daemon.py
+++ b/gateusher/daemon.py
@@ -226,6 +226,7 @@
             self.office.close()
         if self.members:
             self.members.close()
+        self.engine.expire()  # before the connections on which the answers go
         self.server.close()
         self.node.close()
         self.succession.close()  # last: the successor takes all of the budget when this ends
--- a/gateusher/listeners/http.py
+++ b/gateusher/listeners/http.py
@@ -139,6 +139,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
+        if self._closing:
+            self._transport.close()  # given up while the loop was still taking it in
         self._poller = select.poll()
         self._poller.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
 
@@ -185,6 +187,14 @@
         if self._transport:
             self._transport.close()
 
+    def end(self) -> None:
+        """The process ends and all answers are written, read or not: another request would be one too many."""
+        if self._queue and (rest := self._queue[0].rest):
+            rest.stop()
+            self.passed(self._queue[0], False)
+        else:
+            self.close()
+
     def spare(self, now: float) -> bool:
         """Whether it may be closed to make room.
 
@@ -715,17 +725,20 @@
     def drained(self) -> bool:
         """One step of the drain; whether nothing is in hand any more."""
         since = self.phases.since(self.loop.time())
-        if self._socket and since >= STOP_LISTENING_S:
+        if self._socket and since >= min(STOP_LISTENING_S, self._end_s):
             self._accept()  # those who wait in the queue were told that they are connected
             self._stop_listening()
         if not self.phases.handed:
             self._close_idle(since >= CLOSE_NEW_S)
         if since >= self._end_s:
-            for client in list(self._clients):
-                if client.sending:
-                    client.reject(503)  # the request was never taken
-                else:
-                    client.close()  # its answer is written and not read: another behind it would be one too many
+            whole = [client for client in self._clients if not client.sending]
+            for client in [client for client in self._clients if client.sending]:
+                client.reject(503)  # the request was never taken
+            # The deadlines end now too, by timers that may be called after this in the same turn, or a few
+            # milliseconds later: who closed first lost the answers of those that waited.
+            self.engine.expire()
+            for client in whole:
+                client.end()
         return self._socket is None and not self._clients
 
     def close(self) -> None:
--- /dev/null
+++ b/tests/standing/test_end.py
@@ -0,0 +1,148 @@
+"""The planned end: who waits gets an answer, whichever timer comes first, and a signal in the start waits its turn."""
+
+import asyncio
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+import uvloop
+
+from gateusher.listeners.http import Client
+
+from ..helpers import HANG_S
+from ..net import Endpoint, Rig, Writer, configuration, look, pay, read_message, rig
+
+LOOPS = pytest.mark.parametrize("loop", [asyncio.new_event_loop, uvloop.new_event_loop], ids=["asyncio", "uvloop"])
+
+
+def play(story: Any, loop: Callable[[], asyncio.AbstractEventLoop]) -> None:
+    with asyncio.Runner(loop_factory=loop) as runner:
+        runner.run(story())
+
+
+async def hang(head: bytes, writer: Writer) -> None:
+    """The endpoint hangs in the middle of its work."""
+
+
+async def open_calls(r: Rig, count: int) -> None:
+    async with asyncio.timeout(HANG_S):
+        while len(r.sidecar.engine.calls) < count:
+            await asyncio.sleep(0.002)
+
+
+def close_first(r: Rig) -> None:
+    """The listener's end comes now, before the timers of the deadlines that lie at the same moment."""
+    r.sidecar.drain()
+    r.sidecar.server.phases._since -= 100.0
+    r.sidecar.server.drained()
+
+
+@LOOPS
+@pytest.mark.parametrize("asked", [look("l1"), pay("p1"), look("l1") + look("l2") + look("l3")],
+                         ids=["safe", "unsafe", "one behind another"])
+def test_the_end_of_the_listener_before_the_end_of_the_deadlines(
+        asked: bytes, loop: Callable[[], asyncio.AbstractEventLoop]) -> None:
+    """Each request that was taken gets its answer, and only then the connection is closed."""
+    async def story() -> None:
+        async with rig(Endpoint(hang)) as r:
+            reader, writer = await r.connect()
+            writer.write(asked)
+            await open_calls(r, asked.count(b"X-Request-Id"))
+            close_first(r)
+            for _ in range(asked.count(b"X-Request-Id")):
+                head, _ = await asyncio.wait_for(read_message(reader), HANG_S)
+                assert head.startswith(b"HTTP/1.1 504")
+            assert await asyncio.wait_for(reader.read(), HANG_S) == b""
+            writer.close()
+            assert all(call.over for call in r.sidecar.engine.calls.values())
+    play(story, loop)
+
+
+@LOOPS
+def test_the_end_while_a_long_body_is_half_through(loop: Callable[[], asyncio.AbstractEventLoop]) -> None:
+    """It was never whole, so it was never taken: it is refused, and no endpoint begins it."""
+    async def story() -> None:
+        endpoint = Endpoint()
+        async with rig(endpoint) as r:
+            reader, writer = await r.connect()
+            writer.write(pay("p1", "60", b"Content-Length: 400000\r\n", bytes(300_000)))
+            await open_calls(r, 1)
+            close_first(r)
+            head, _ = await asyncio.wait_for(read_message(reader), HANG_S)
+            assert head.startswith(b"HTTP/1.1 503") and b"Connection: close" in head
+            writer.close()
+            assert endpoint.seen == []
+    play(story, loop)
+
+
+@LOOPS
+def test_a_process_that_is_closed_at_once_answers_first(loop: Callable[[], asyncio.AbstractEventLoop]) -> None:
+    async def story() -> None:
+        async with rig(Endpoint(hang)) as r:
+            reader, writer = await r.connect()
+            writer.write(pay("p1"))
+            await open_calls(r, 1)
+            r.sidecar.close()
+            head, _ = await asyncio.wait_for(read_message(reader), HANG_S)
+            assert head.startswith(b"HTTP/1.1 504")
+            writer.close()
+    play(story, loop)
+
+
+@LOOPS
+def test_a_connection_that_is_given_up_while_it_is_taken_in(
+        loop: Callable[[], asyncio.AbstractEventLoop], monkeypatch: pytest.MonkeyPatch) -> None:
+    """Accepted and closed in one turn: the loop makes it only after that, and nothing would have closed it."""
+    made = Client.connection_made
+    came: list[Client] = []
+
+    def late(self: Client, transport: asyncio.BaseTransport) -> None:
+        if not came:
+            self.close()
+        came.append(self)
+        made(self, transport)
+    monkeypatch.setattr(Client, "connection_made", late)
+
+    async def story() -> None:
+        endpoint = Endpoint()
+        async with rig(endpoint) as r:
+            with socket.create_connection(("127.0.0.1", r.sidecar.server.port)) as sock:
+                sock.setblocking(False)
+                data = await asyncio.wait_for(asyncio.get_running_loop().sock_recv(sock, 100), HANG_S)
+                assert data == b"" and not endpoint.seen
+            async with asyncio.timeout(HANG_S):
+                while r.sidecar.server._clients:
+                    await asyncio.sleep(0.002)
+            assert r.sidecar.node.descriptors.used == 0
+    play(story, loop)
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+def test_a_signal_in_the_start_waits_for_the_start(number: signal.Signals, tmp_path: Path) -> None:
+    """The listener is there before the start is through, and so may clients be."""
+    import json  # noqa: PLC0415
+    file = tmp_path / "config.json"
+    conf = configuration([], 1)
+    conf["listen"] = "127.0.0.1:%d" % socket.create_server(("127.0.0.1", 0)).getsockname()[1]
+    file.write_text(json.dumps(conf))
+    code = f"""
+import os, sys
+from gateusher import daemon
+from gateusher.cli.run import run
+start = daemon.Sidecar.start
+async def late(self):
+    os.kill(os.getpid(), {int(number)})
+    await start(self)
+    print("started", flush=True)
+daemon.Sidecar.start = late
+sys.exit(run(None))
+"""
+    done = subprocess.run([sys.executable, "-c", code], env={**os.environ, "BALANCER_CONFIG": str(file)}, timeout=HANG_S,
+                          capture_output=True, text=True, check=False)
+    assert done.returncode == 0 and "started" in done.stdout and "Traceback" not in done.stderr
