What a client left behind is not sent on: looks at its end where reading it comes late

A new term: a request whose client has left while it waited is not sent on. Not held, each shown by a test:

- In the queue of those who wait to be accepted, and in a process that stood still: request and end lie in the kernel together, the request is read first and was out a turn before the end was read.
- A long body that is held: nothing is read, so its end was seen only after the last byte had gone on.
- Behind an answer that is not read: the loop tells the end at once and the connection's loss only when all is written or given up (6 s); the core now lets go at the end.
- Nothing is taken behind a request whose answer will end its connection.

The virtual transport tells POLLRDHUP where an end waits behind a pause.

--- a/gateusher/listeners/http.py
+++ b/gateusher/listeners/http.py
@@ -43,6 +43,8 @@
 BACKLOG = 1024
 ACCEPT_PAUSE_S = 0.05
 STOP_LISTENING_S = 0.55      # after SIGTERM: new connections come for 0.4 s
+LATE_S = 0.2                 # from one sweep to the next, or to a read: twice the usual
+GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 FORMER_S = 1.3              # after new settings: clients go by them 1.2 s later
 CLOSE_NEW_S = 0.65           # connections on which nothing has come by then stay unused
 END_S = 3.4                  # how long a planned end waits for what is open, where nobody says otherwise
@@ -117,6 +119,7 @@
         self._blocked = False     # the client takes no more at present
         self._deaf = False        # a last answer is on its way: nothing more is read
         self._used = False        # a request has begun here before
+        self._kept = False        # one has been taken here: what comes next did not wait to be accepted
         self._closing = False
         self.at = server.loop.time()  # when it connected, or was last answered or closed
         self._whole_by = self.at + WHOLE_S
@@ -142,7 +145,7 @@
         if self._closing:
             self._transport.close()  # given up while the loop was still taking it in
         self._poller = select.poll()
-        self._poller.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
+        self._poller.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
@@ -156,6 +159,20 @@
                 call.rest.stop()
             self._server.engine.depart(call)
 
+    def eof_received(self) -> None:
+        """The client is gone: the loop closes the connection, but not before all that is written has been read.
+
+        Until then nothing of what it has asked for may be sent on.  It could harm a client that ends its side and yet
+        wants its answer; such a one counts as gone.
+        """
+        for call in list(self._queue):
+            self._server.engine.depart(call)
+
+    @property
+    def gone(self) -> bool:
+        """The client has closed its end, whatever is still to be read before that."""
+        return bool(self._transport and any(event & GONE for _, event in self._poller.poll(0)))
+
     def pause_writing(self) -> None:
         self._blocked = True
         if self._queue and (rest := self._queue[0].rest) and rest.sink:
@@ -216,7 +233,9 @@
             if not self._queue and waited > LINGER_S:
                 self.close()
         elif self._in_message and self._held_at:
-            if now - self._held_at > HELD_S:
+            if self.gone and self._transport:
+                self._transport.abort()  # nothing is read of it, so only this look tells that it has left
+            elif now - self._held_at > HELD_S:
                 self.go()
                 self.reject(503)  # no endpoint takes it, and none has begun it
         elif self._in_message:
@@ -231,6 +250,9 @@
     def data_received(self, data: bytes) -> None:
         if self._deaf:
             return
+        if self._uploading and (not self._kept or self._server.late) and self.gone and self._transport:
+            self._transport.abort()  # its last byte may be among these, and would go on as it is read
+            return
         begun = self._in_head
         try:
             self._parser.feed_data(data)
@@ -252,6 +274,8 @@
         # One read may hold hundreds of requests: stopping the parser bounds the work of each read.
         if len(self._queue) >= MOST_OPEN:
             raise UnusableError(429)
+        if self._queue and not self._queue[-1].keep:
+            raise UnusableError(400)  # behind one whose answer ends the connection: it is not taken
         if self._used:
             self._whole_by = self._server.loop.time() + WHOLE_S
         self._fresh()
@@ -337,6 +361,7 @@
             self._heard, self._held_at = now, 0.0
             if self._transport and not self._transport.is_closing():
                 self._transport.resume_reading()
+            self._kept = False  # what comes now may be as old as the pause
 
     def _asked(self, body: bytes | bytearray) -> _Asked:
         """The request whose head has come."""
@@ -346,6 +371,15 @@
 
     def on_message_complete(self) -> None:
         self._in_message = False
+        # What has waited to be accepted, or to be read, may be of a client that has left since: its end is behind
+        # this in the same queue of bytes, and is read a turn later, when the request would be out.
+        gone = (not self._kept or self._server.late) and self.gone
+        self._kept = True
+        if gone:
+            self._drop_body()
+            if self._uploading:
+                self._server.engine.depart(self._uploading)
+            return
         if self._uploading:
             call, self._uploading = self._uploading, None
             self._server.engine.uploaded(call)
@@ -552,6 +586,8 @@
         self.phases = Phases()
         self._end_s = END_S
         self._accepting = False
+        self._swept_at = self.loop.time()
+        self._late = False  # the last sweep was
         self._socket: socket.socket | None = door
         if door is None:
             self._socket = socket.create_server(
@@ -654,6 +690,7 @@
         they stay; a client that comes back to one after a pause must open it anew.
         """
         now = self.loop.time()
+        self._late, self._swept_at = now - self._swept_at > LATE_S, now
         if self.former and now > self._former_until:
             self.former = {}
         for client in list(self._clients):
@@ -667,6 +704,11 @@
                 if client.idle and not self.phases.spares_idle(now, client.at, client.used):
                     client.close()
 
+    @property
+    def late(self) -> bool:
+        """This process stood still just now: what it reads may have waited as long."""
+        return self._late or self.loop.time() - self._swept_at > LATE_S
+
     def rename(self, names: Names, former: dict[bytes, int]) -> None:
         """Classes go by these names from now on, and for a moment by their `former` meaning too."""
         self.names, self.former = names, former
--- a/gateusher/virtual/loop.py
+++ b/gateusher/virtual/loop.py
@@ -284,8 +284,11 @@
     def register(self, transport: Transport, _: int) -> None:
         self._transport = transport
 
-    def poll(self, _: int) -> list[int]:
-        return [1] if self._transport and (self._transport.unread or self._transport.closing) else []
+    def poll(self, _: int) -> list[tuple[int, int]]:
+        if not self._transport or not (self._transport.unread or self._transport.closing):
+            return []
+        return [(0, Select.POLLIN | (Select.POLLHUP if self._transport.closing else 0)
+                 | (Select.POLLRDHUP if self._transport.ended is not None else 0))]
 
 
 class Listening:
@@ -313,5 +316,5 @@
 class Select:
     """Stands for the module `select`."""
 
-    POLLIN = 1
+    POLLIN, POLLERR, POLLHUP, POLLRDHUP = 1, 8, 16, 0x2000
     poll = Poller
--- /dev/null
+++ b/tests/standing/test_leaving.py
@@ -0,0 +1,224 @@
+"""A client that leaves while its request waits: nothing of it reaches an endpoint, however its leaving has to be seen."""
+
+import asyncio
+import socket
+import struct
+import time
+from typing import Any
+
+import pytest
+import uvloop
+
+from gateusher.listeners.http import Client
+from gateusher.upstream.http import SETTLE_MS
+
+from ..helpers import HANG_S
+from ..net import OK, Endpoint, Rig, Writer, look, pay, read_message, rig
+
+TURNED_AWAY = b"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+def play(story: Any) -> None:
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(story())
+
+
+def connect(r: Rig) -> socket.socket:
+    return socket.create_connection(("127.0.0.1", r.sidecar.server.port))
+
+
+def leave(sock: socket.socket, how: str) -> None:
+    if how == "reset":
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+async def nobody_is_left(r: Rig, lost: int, gone: list[Client]) -> None:
+    """Until so many connections are gone and every request is settled."""
+    async with asyncio.timeout(HANG_S):
+        while len(gone) < lost or r.sidecar.engine.calls:
+            await asyncio.sleep(0.002)
+
+
+@pytest.fixture
+def gone(monkeypatch: pytest.MonkeyPatch) -> list[Client]:
+    """The clients' connections that are gone."""
+    found: list[Client] = []
+    lost = Client.connection_lost
+
+    def hear(self: Client, exc: Exception | None) -> None:
+        lost(self, exc)
+        found.append(self)
+    monkeypatch.setattr(Client, "connection_lost", hear)
+    return found
+
+
+@pytest.mark.parametrize("how", ["end", "reset"])
+@pytest.mark.parametrize("asked", [look("l1"), pay("p1")], ids=["safe", "unsafe"])
+def test_in_the_queue_of_those_who_wait_to_be_accepted(how: str, asked: bytes, gone: list[Client]) -> None:
+    """Connection, request and end are all there before the loop comes to accept: a burst that has gone again."""
+    async def story() -> None:
+        endpoint = Endpoint()
+        async with rig(endpoint) as r:
+            head, _ = await r.ask(look("first"))
+            assert head.startswith(b"HTTP/1.1 200")
+            node = r.sidecar.node
+            async with asyncio.timeout(HANG_S):   # the connection that is kept has rested: it would be written to at once
+                while not any(c.idle_since <= node.clock.now() - SETTLE_MS for h in node.upstream._hosts.values()
+                              for c in h.idle):
+                    await asyncio.sleep(0.002)
+            for _ in range(20):
+                sock = connect(r)
+                sock.sendall(asked)
+                leave(sock, how)
+            await nobody_is_left(r, 21, gone)
+            assert len(endpoint.seen) == 1
+    play(story)
+
+
+def test_on_a_kept_connection_while_the_process_stood_still(gone: list[Client]) -> None:
+    async def story() -> None:
+        endpoint = Endpoint()
+        async with rig(endpoint) as r:
+            reader, writer = await r.connect()
+            writer.write(look("l1"))
+            await asyncio.wait_for(read_message(reader), HANG_S)
+            await asyncio.sleep(0.15)                  # a sweep that was in time
+            sock: socket.socket = writer.get_extra_info("socket")
+            fd = socket.socket(fileno=socket.dup(sock.fileno()))
+            fd.sendall(look("l2"))
+            fd.shutdown(socket.SHUT_WR)
+            fd.close()
+            time.sleep(0.3)                            # noqa: ASYNC251 - the loop stands still
+            await nobody_is_left(r, 1, gone)
+            assert len(endpoint.seen) == 1
+            writer.close()
+    play(story)
+
+
+def test_behind_an_answer_that_it_does_not_read(gone: list[Client]) -> None:
+    """Its end is seen, and its connection lives on until what is written was read: its second request waits on there."""
+    async def story() -> None:
+        out, turn = asyncio.Event(), asyncio.Event()
+
+        async def handle(head: bytes, writer: Writer) -> None:
+            if b"X-Request-Id: long" in head:
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (32 << 20))
+                for _ in range(512):
+                    writer.write(bytes(65536))
+                    await writer.drain()
+            elif not turn.is_set():
+                out.set()
+                await turn.wait()
+                writer.write(TURNED_AWAY)
+            else:
+                writer.write(OK)
+
+        ends = [Endpoint(handle), Endpoint(handle)]
+        async with rig(*ends) as r:
+            sock = connect(r)
+            sock.sendall(look("long") + look("l2"))
+            await asyncio.wait_for(out.wait(), HANG_S)
+            (client,) = r.sidecar.server._clients
+            async with asyncio.timeout(HANG_S):
+                while not client._blocked:
+                    await asyncio.sleep(0.002)
+            sock.shutdown(socket.SHUT_WR)
+            async with asyncio.timeout(HANG_S):
+                while not (client._transport is None or client._transport.is_closing()):
+                    await asyncio.sleep(0.002)
+            turn.set()
+            async with asyncio.timeout(HANG_S):
+                while any(call.name == b"l2" for call in r.sidecar.engine.calls.values()):
+                    await asyncio.sleep(0.002)
+            seen = [head for end in ends for head in end.seen if b"X-Request-Id: l2" in head]
+            assert len(seen) == 1
+            sock.close()
+    play(story)
+
+
+class Slow:
+    """An endpoint that keeps what it has got of a long body."""
+
+    def __init__(self) -> None:
+        self.got, self.some, self.over = 0, asyncio.Event(), asyncio.Event()
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: Writer) -> None:
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            while data := await reader.read(65536):
+                self.got += len(data)
+                self.some.set()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        self.over.set()
+        writer.close()
+
+
+@pytest.mark.parametrize("how", ["its endpoint has room again", "a sweep"])
+def test_a_long_body_that_is_held(how: str, gone: list[Client]) -> None:
+    """Nothing is read of it meanwhile, so its end lies unread behind its last byte."""
+    size = 400_000
+
+    async def story() -> None:
+        endpoint: Any = Slow()
+        async with rig(endpoint) as r:
+            sock = connect(r)
+            sock.setblocking(False)
+            loop = asyncio.get_running_loop()
+            await loop.sock_sendall(sock, pay("p1", "60", b"Content-Length: %d\r\n" % size, bytes(size - 1000)))
+            async with asyncio.timeout(HANG_S):
+                while not r.sidecar.engine.calls or endpoint.got < size - 1000:
+                    await asyncio.sleep(0.002)
+            (call,) = r.sidecar.engine.calls.values()
+            assert call.upload
+            call.upload.hold()
+            await loop.sock_sendall(sock, bytes(1000))
+            leave(sock, "end")
+            if how == "a sweep":
+                r.sidecar.server.sweep()
+            else:
+                call.upload.go()
+            for _ in range(20):
+                await asyncio.sleep(0)
+            assert call.over
+            await nobody_is_left(r, 1, gone)
+            await asyncio.wait_for(endpoint.over.wait(), HANG_S)
+            assert endpoint.got == size - 1000
+    play(story)
+
+
+def test_in_a_hold_of_the_module_and_in_a_dial(gone: list[Client]) -> None:
+    """Its leaving is read at once there: the dial is given up, the hold ends in nothing."""
+    async def story() -> None:
+        full = socket.create_server(("127.0.0.1", 0), backlog=0)   # a dial to it stays on its way
+        fill = []
+        for _ in range(3):
+            sock = socket.socket()
+            sock.setblocking(False)
+            sock.connect_ex(full.getsockname())
+            fill.append(sock)
+
+        class Dialled:
+            port = full.getsockname()[1]
+            server = full
+
+            async def start(self) -> None: ...
+
+        end: Any = Dialled()
+        async with rig(end) as r:
+            reader, writer = await r.connect()
+            writer.write(pay("p1", "60"))
+            async with asyncio.timeout(HANG_S):
+                while not r.sidecar.node.upstream._conns:
+                    await asyncio.sleep(0.002)
+            writer.close()
+            await nobody_is_left(r, 1, gone)
+            assert not any(conn.attempt for conn in r.sidecar.node.upstream._conns)
+        for sock in fill:
+            sock.close()
+    play(story)
