--- a/tests/standing/test_end.py
+++ b/tests/standing/test_end.py
@@ -1,6 +1,7 @@
-"""The planned end: who waits gets an answer, whichever timer comes first, and a signal in the start waits its turn."""
+"""The planned end: who waits gets an answer, whichever timer comes first; a signal in the start waits its turn."""
 
 import asyncio
+import json
 import os
 import signal
 import socket
@@ -126,10 +127,10 @@
 @pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
 def test_a_signal_in_the_start_waits_for_the_start(number: signal.Signals, tmp_path: Path) -> None:
     """The listener is there before the start is through, and so may clients be."""
-    import json  # noqa: PLC0415
     file = tmp_path / "config.json"
     conf = configuration([], 1)
-    conf["listen"] = "127.0.0.1:%d" % socket.create_server(("127.0.0.1", 0)).getsockname()[1]
+    with socket.create_server(("127.0.0.1", 0)) as place:
+        conf["listen"] = f"127.0.0.1:{place.getsockname()[1]}"
     file.write_text(json.dumps(conf))
     code = f"""
 import os, sys
@@ -143,6 +144,7 @@
 daemon.Sidecar.start = late
 sys.exit(run(None))
 """
-    done = subprocess.run([sys.executable, "-c", code], env={**os.environ, "BALANCER_CONFIG": str(file)}, timeout=HANG_S,
-                          capture_output=True, text=True, check=False)
+    env = {**os.environ, "BALANCER_CONFIG": str(file)}
+    done = subprocess.run([sys.executable, "-c", code], env=env, timeout=HANG_S, capture_output=True, text=True,
+                          check=False)
     assert done.returncode == 0 and "started" in done.stdout and "Traceback" not in done.stderr
--- a/tests/standing/test_leaving.py
+++ b/tests/standing/test_leaving.py
@@ -1,4 +1,4 @@
-"""A client that leaves while its request waits: nothing of it reaches an endpoint, however its leaving has to be seen."""
+"""A client that leaves while its request waits: nothing of it reaches an endpoint, however its leaving is seen."""
 
 import asyncio
 import socket
@@ -63,7 +63,7 @@
             head, _ = await r.ask(look("first"))
             assert head.startswith(b"HTTP/1.1 200")
             node = r.sidecar.node
-            async with asyncio.timeout(HANG_S):   # the connection that is kept has rested: it would be written to at once
+            async with asyncio.timeout(HANG_S):   # the kept connection has rested, and would be used
                 while not any(c.idle_since <= node.clock.now() - SETTLE_MS for h in node.upstream._hosts.values()
                               for c in h.idle):
                     await asyncio.sleep(0.002)
@@ -97,7 +97,7 @@
 
 
 def test_behind_an_answer_that_it_does_not_read(gone: list[Client]) -> None:
-    """Its end is seen, and its connection lives on until what is written was read: its second request waits on there."""
+    """Its end is seen, and its connection lives on until what is written is read; its second request waits there."""
     async def story() -> None:
         out, turn = asyncio.Event(), asyncio.Event()
 
