Where time runs out at most servers the door closes and attempts wait, in place of asking twice

Ruled out: CPU (0.35 of a core in the start alone), connections (no failed dials then), refusals of servers (FULL 0: queues there hold 11 to 27 a core and are not cancelled).

Cause: brain._feedback counted a time-out for the door only where the server had answered meanwhile, and _send gave each attempt 0.45 of the time left; where queues are long and given-up work is done all the same, each time-out asked for the work a second time.

- The part of attempts whose time runs out, and the servers where it did last: over a third, at over half of the ready ones, all are late.
- Then attempts wait longer (as where all are full), and each that runs out weighs 2.0 at the door in place of 0.15 to 0.6.

--- a/gateusher/policy/brain.py
+++ b/gateusher/policy/brain.py
@@ -30,6 +30,7 @@
 AT_ONCE = 4                      # so many tries follow each other at once
 AGAIN, IN_NEED = 125.0, 1000.0   # half the first wait after a failed watch; the longest while in need
 QUEUED = 4.0                     # so many times longer does an attempt wait where all turn work away
+LATE, IN_VAIN = 1 / 3, 2.0       # part of the attempts beyond which all servers are late, and what each then weighs
 LOOKED_AT = 64                   # cold servers that are looked at for one request
 LEVELS = 14                      # levels of c, each half of the one before
 BROKE = (Outcome.CONNECT_FAILED, Outcome.RESET)
@@ -52,7 +53,7 @@
         self.watching, self.watch_fails, self.watch_from = False, 0, 0.0
         self.work: dict[int, Work] = {}
         self.live: tuple[int, ...] = tuple(range(len(settings.classes)))
-        self.full, self.room, self.room_at = 0.0, ROOM_MOST, 0.0
+        self.full, self.late, self.room, self.room_at = 0.0, 0.0, ROOM_MOST, 0.0
         self.ring: list[tuple[int, Server]] = []
         self.mix = [1.0 / len(settings.classes)] * len(settings.classes)
         classes = settings.classes
@@ -411,7 +412,7 @@
         above = sum(m for m, v in zip(self.mix, value, strict=True) if v > value[cls])
         return above + self.rnd() * self.mix[cls] < self.room
 
-    def _found_room(self, served: bool) -> None:
+    def _found_room(self, served: bool, in_vain: float = 0.0) -> None:
         """Move the share let in by what became of an attempt.
 
         Only attempts that reached a server at work count: served in time, or turned away or late.  It settles
@@ -424,11 +425,26 @@
         stalled server lost, for which the others have room.  This should hold whatever made room short.  It
         could harm where turning away costs a server about as much as serving, and where a few servers that
         turn all away draw most attempts.
+
+        Where servers have long queues they turn nothing away, and time runs out everywhere.  What was given up
+        still fills them, so each such attempt cost a server its work and served nobody: it weighs IN_VAIN, and the
+        door settles where one in six to three does.  Weighed like a turning away the door stayed open until the
+        queues held seconds of work that nobody waited for, and opened again at the first answers.  It could harm
+        where over a third of the attempts meet servers that hang while the others have room, until these are struck.
         """
         part = TURNED_AWAY + NARROWER * max(0.0, 1.0 - self.room)
-        step = PACE * (part if served else part - 1.0)
+        step = PACE * (part if served else -in_vain or part - 1.0)
         self.room = min(ROOM_MOST, max(ROOM_LEAST, self.room + step * max(0.25, self.room)))
 
+    def _all_late(self) -> float:
+        """How far time runs out everywhere, 0 to 1: at over LATE of the attempts, and at most of the servers.
+
+        The attempts alone would tell the same of one server that hangs and draws them.
+        """
+        if self.late <= LATE or sum(s.late for s in self.ready) * 2 <= len(self.ready):
+            return 0.0
+        return (self.late - LATE) / (1.0 - LATE)
+
     def _pause(self, work: Work) -> float:
         """Where most servers turn work away, the last tries wait for a place to come free.
 
@@ -458,10 +474,11 @@
         if settings.effect is not Effect.UNSAFE and len(work.sent) + 1 < min(work.most, self.s.max_attempts):
             # Where servers are full, a wait is their queue's and no silence: to give up there and ask
             # elsewhere is to do the work twice, and a fleet of clients that do so has the least room when it
-            # needs most.  It guards against retry storms, whatever made room short.  It could harm where one
-            # server hangs while others are full: what it holds then waits longer for another attempt.
+            # needs most.  The same holds where time runs out at most servers: they are late, not hung.  It guards
+            # against retry storms, whatever made room short.  It could harm where one server hangs while others
+            # are full: what it holds then waits longer for another attempt.
             patience = max(0.45 * (work.give_up - now), 3.0 * self.target[work.cls])
-            expires = min(expires, now + patience * (1.0 + QUEUED * self.full))
+            expires = min(expires, now + patience * (1.0 + QUEUED * (self.full + self._all_late())))
         load = self._score(server, work.cls) / (self.service[work.cls] * self.fit[server.info.kind][work.cls])
         if not (server.out and server.owes):
             server.owes, server.quiet_at = True, now
@@ -568,6 +585,9 @@
         if outcome in (Outcome.OK, Outcome.FULL):
             self._found_room(outcome is Outcome.OK and self.now - work.began <= self.s.classes[cls].aim_ms)
         self.full += ((outcome is Outcome.FULL) - self.full) * 0.05
+        if outcome in (Outcome.OK, Outcome.FULL, Outcome.TIMEOUT):
+            self.late += ((outcome is Outcome.TIMEOUT) - self.late) * 0.05
+            server.late = outcome is Outcome.TIMEOUT
         if event.report:
             self._report(server, event.report)
         if outcome in (Outcome.OK, Outcome.FULL):
@@ -601,7 +621,9 @@
             self._miss(server, cls, sent_at)
         elif outcome in (Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET):
             server.dead = outcome is Outcome.CONNECT_FAILED
-            if outcome is Outcome.TIMEOUT and server.heard_at >= sent_at:
+            if outcome is Outcome.TIMEOUT and self._all_late():
+                self._found_room(False, IN_VAIN)
+            elif outcome is Outcome.TIMEOUT and server.heard_at >= sent_at:
                 self._found_room(False)  # it serves others: too much for it, no stall
             self._strike(server, sent_at)
 
--- a/gateusher/policy/records.py
+++ b/gateusher/policy/records.py
@@ -44,6 +44,7 @@
     down_at: float = LONG_AGO     # the first of them
     lanes: dict[int, Lane] = field(default_factory=dict)  # the classes that fail there
     dead: bool = False            # the last of them was a failed connection
+    late: bool = False            # time ran out there and nothing has come since
     out_until: float = 0.0        # left out of the draws until then
     cold_from: float = 0.0        # start and end of its warm-up
     warm_at: float = LONG_AGO
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -417,6 +417,43 @@
     assert refused < 30
 
 
+def test_time_that_runs_out_everywhere_shuts_the_door_and_is_waited_out() -> None:
+    """Servers with long queues turn nothing away; what is given up early is done all the same, and done again."""
+    balancer, refused, sent = started(6, settings(max_attempts=3)), 0, list[tuple[float, Send]]()
+    answered = 0
+    for rid in range(400):
+        now = rid * 10.0
+        for act in balancer.handle(now, Request(rid, 0, 3000)):
+            refused += isinstance(act, Refuse)
+            if isinstance(act, Send):
+                sent.append((act.expires_ms - now, act))
+        while sent and len(sent) > 20:   # each waits its whole time and hears nothing; one in twelve is answered
+            wait, act = sent.pop(0)
+            outcome = Outcome.OK if answered % 12 == 11 else Outcome.TIMEOUT
+            answered += 1
+            for more in balancer.handle(now, ended(act.request, len(balancer.work[act.request].sent) - 1, act.endpoint,
+                                                   outcome, wait)):
+                if isinstance(more, Send):
+                    sent.append((more.expires_ms - now, more))
+    assert refused > 200 and balancer.room < 0.4
+    balancer.room = 1.5
+    (act,) = [a for a in balancer.handle(4000.0, Request(1000, 0, 3000)) if isinstance(a, Send)]
+    assert act.expires_ms - 4000.0 > 950.0   # all of its time: to ask elsewhere would find the same there
+
+
+def test_one_server_that_is_late_leaves_the_others_their_patience() -> None:
+    balancer = started(6, settings(max_attempts=3))
+    stalled = balancer.ready[0]
+    for rid in range(60):
+        now = rid * 10.0
+        for act in balancer.handle(now, Request(rid, 0, 3000)):
+            if isinstance(act, Send):
+                late = balancer.servers[act.endpoint] is stalled
+                balancer.handle(now + 5, ended(rid, 0, act.endpoint, Outcome.TIMEOUT if late else Outcome.OK))
+    (act,) = [a for a in balancer.handle(1000.0, Request(1000, 0, 3000)) if isinstance(a, Send)]
+    assert act.expires_ms - 1000.0 < 950.0 and balancer.room > 1.0
+
+
 def test_what_clients_ask_again_does_not_shut_the_door() -> None:
     """Refusals and the repeats that follow say nothing of the servers; only attempts do."""
     balancer = started(4, settings(max_attempts=1))
