A class that becomes stricter under an attempt: no request of it is repeated any more

A suspicion from the issue, confirmed by a test: with an attempt out, SIGHUP made `look` unsafe (it was safe); the endpoint reset, and the request was sent again by the old word, while the endpoint may go by the new one already.

- Classes tell which slots a later word is stricter about (effect; for keyed ones scope and window too); Retuned carries them; the module takes their requests as unsafe, also one that is held between two attempts.
Slots themselves change as little as before.
- Costs: a safe request that is open at such a reload is not tried again after an attempt that may have run.

--- a/gateusher/config/classes.py
+++ b/gateusher/config/classes.py
@@ -2,7 +2,8 @@
 
 A class is known to the core by its slot, a small number.  A new configuration never writes into a slot that a request
 may still hold: a class whose settings differ gets another slot, and the one that it had stays as it was for as long
-as requests with it are open, or may still come.  Slots that nobody can mean any more are used again, so that a
+as requests with it are open, or may still come.  Only one thing reaches these: where the new word is stricter about
+repeats, none of them is repeated any more.  Slots that nobody can mean any more are used again, so that a
 thousand reloads take no more room than two.
 """
 
@@ -11,7 +12,7 @@
 from collections.abc import Collection, Sequence
 from typing import NamedTuple
 
-from ..policy.interface import ClassSettings
+from ..policy.interface import ClassSettings, Effect, Scope
 
 
 class Kind(NamedTuple):
@@ -28,6 +29,18 @@
     kinds: tuple[Kind, ...]                          # all slots, former classes among them
     fresh: tuple[tuple[int, int | None], ...]        # slots that are new, and whose experience each may begin with
     live: tuple[int, ...]                            # slots of the present configuration
+    once: frozenset[int]                             # slots whose requests may not be repeated any more
+
+
+RANK = {Effect.SAFE: 0, Effect.KEYED: 1, Effect.UNSAFE: 2}
+REACH = {Scope.ALL: 0, Scope.ZONE: 1, Scope.CELL: 2}
+
+
+def stricter(new: ClassSettings, old: ClassSettings) -> bool:
+    """Whether a repeat that `old` allows may do harm by `new`."""
+    if new.effect is Effect.KEYED and old.effect is Effect.KEYED:
+        return REACH[new.scope] > REACH[old.scope] or new.window_ms < old.window_ms
+    return RANK[new.effect] > RANK[old.effect]
 
 
 class Classes:
@@ -37,6 +50,7 @@
         self.kinds: list[Kind] = list(kinds)
         self.current: dict[bytes, int] = {kind.name: i for i, kind in enumerate(kinds)}
         self.former: dict[bytes, int] = {}   # names that meant something else, or anything at all, before
+        self._once: set[int] = set()         # slots that a later configuration was stricter about
 
     def change(self, kinds: Sequence[Kind], held: Collection[int]) -> Change:
         """Take up these classes.  `held`: slots of open requests.
@@ -60,6 +74,14 @@
                 self.kinds.append(kind)
             after[kind.name] = slot
             fresh.append((slot, old))
+            self._once.discard(slot)
         self.current = after
         self.former = {name: slot for name, slot in before.items() if after.get(name) != slot}
-        return Change(tuple(self.kinds), tuple(fresh), tuple(after.values()))
+        # The endpoints may go by the new word already, or by the old one still: the stricter of both holds for what
+        # came by the old one.  It could harm what is safe to repeat by both, where a class changes in name only.
+        meaning = {kind.name: kind.settings for kind in kinds}
+        for slot in {*before.values(), *held} - set(after.values()):
+            new = meaning.get(self.kinds[slot].name)
+            if new and stricter(new, self.kinds[slot].settings):
+                self._once.add(slot)
+        return Change(tuple(self.kinds), tuple(fresh), tuple(after.values()), frozenset(self._once))
--- a/gateusher/core/engine.py
+++ b/gateusher/core/engine.py
@@ -282,10 +282,11 @@
             self._overdue(call)
 
     def retune(self, settings: Settings, methods: tuple[frozenset[bytes], ...],
-               fresh: tuple[tuple[int, int | None], ...], live: tuple[int, ...]) -> None:
+               fresh: tuple[tuple[int, int | None], ...], live: tuple[int, ...],
+               once: frozenset[int] = frozenset()) -> None:
         """Other settings for what comes from now on; see `Retuned`."""
         self._settings, self._methods = settings, methods
-        self.deliver(Retuned(settings, fresh, live))
+        self.deliver(Retuned(settings, fresh, live, once))
 
     def close(self) -> None:
         """End at once: what is open gets its final answer, what is out is given up, no timer is left."""
--- a/gateusher/node.py
+++ b/gateusher/node.py
@@ -106,7 +106,8 @@
             old, classes=tuple(kind.settings for kind in change.kinds), max_attempts=new.max_attempts,
             max_retry_after_ms=new.max_retry_after_ms, dial_timeout_ms=new.dial_timeout_ms, idle_ms=new.idle_ms)
         self.names = self.names._replace(classes=self.classes.current)
-        self.engine.retune(self.settings, tuple(kind.methods for kind in change.kinds), change.fresh, change.live)
+        self.engine.retune(self.settings, tuple(kind.methods for kind in change.kinds), change.fresh, change.live,
+                           change.once)
         self.upstream.retune(self.settings)
         if config.discovery and isinstance(self.discovery, Discovery):
             self.discovery.move(config.discovery)
--- a/gateusher/policy/brain.py
+++ b/gateusher/policy/brain.py
@@ -53,6 +53,7 @@
         self.watching, self.watch_fails, self.watch_from = False, 0, 0.0
         self.work: dict[int, Work] = {}
         self.live: tuple[int, ...] = tuple(range(len(settings.classes)))
+        self.once: frozenset[int] = frozenset()   # classes that were repeatable until other settings came
         self.full, self.late, self.room, self.room_at = 0.0, 0.0, ROOM_MOST, 0.0
         self.ring: list[tuple[int, Server]] = []
         self.mix = [1.0 / len(settings.classes)] * len(settings.classes)
@@ -86,9 +87,10 @@
 
         A class that nobody knew begins as all did at the start.  Requests in hand keep their index, and have
         the fewer of the attempts that old and new settings allow.  It could mislead for a moment where a
-        class keeps its name and becomes other work.
+        class keeps its name and becomes other work.  Where the new word is stricter about repeats it holds for
+        those in hand too.
         """
-        self.s, self.live = news.settings, news.live
+        self.s, self.live, self.once = news.settings, news.live, news.once
         classes = self.s.classes
         for column in (self.mix, self.target, self.service, *self.fit):
             column.extend([1.0] * (len(classes) - len(column)))
@@ -111,6 +113,9 @@
                 self.mix[cls] = 0.0
         self._pace()
 
+    def _effect(self, cls: int) -> Effect:
+        return Effect.UNSAFE if cls in self.once else self.s.classes[cls].effect
+
     # -- the list
 
     def _news(self, news: ListNews) -> None:
@@ -387,6 +392,8 @@
         tries, needed = len(work.sent), self.service[work.cls] / 2
         if left <= 0 or tries >= min(work.most, self.s.max_attempts) or (tries and left < needed):
             return self._end(work)
+        if work.maybe_ran and self._effect(work.cls) is Effect.UNSAFE:
+            return self._end(work)  # it was repeatable when it was held
         if tries > work.held:
             work.held = tries
             wait = self._pause(work)
@@ -469,9 +476,9 @@
         self.acts.append(SetTimer(work.rid + HOLD, wait))
 
     def _send(self, work: Work, server: Server) -> None:
-        now, settings = self.now, self.s.classes[work.cls]
+        now = self.now
         expires = work.give_up
-        if settings.effect is not Effect.UNSAFE and len(work.sent) + 1 < min(work.most, self.s.max_attempts):
+        if self._effect(work.cls) is not Effect.UNSAFE and len(work.sent) + 1 < min(work.most, self.s.max_attempts):
             # Where servers are full, a wait is their queue's and no silence: to give up there and ask
             # elsewhere is to do the work twice, and a fleet of clients that do so has the least room when it
             # needs most.  The same holds where time runs out at most servers: they are late, not hung.  It guards
@@ -498,9 +505,9 @@
     def _end(self, work: Work) -> None:
         """The final answer: a refusal only where a repeat does no harm, a failure otherwise."""
         self._fell_short()
-        settings = self.s.classes[work.cls]
-        harmless = not (work.maybe_ran or work.out) or settings.effect is Effect.SAFE or (
-            settings.effect is Effect.KEYED and settings.scope is Scope.ALL)
+        effect, scope = self._effect(work.cls), self.s.classes[work.cls].scope
+        harmless = not (work.maybe_ran or work.out) or effect is Effect.SAFE or (
+            effect is Effect.KEYED and scope is Scope.ALL)
         self.acts.append(Refuse(work.rid, self._come_back(work)) if harmless else Fail(work.rid))
         self._forget(work)
 
@@ -567,7 +574,7 @@
             return
         if event.outcome not in NEVER_RAN:
             work.maybe_ran = True
-            effect = self.s.classes[work.cls].effect
+            effect = self._effect(work.cls)
             if effect is Effect.UNSAFE:
                 self._end(work)
                 return
--- a/gateusher/policy/interface.py
+++ b/gateusher/policy/interface.py
@@ -204,6 +204,7 @@
     settings: Settings                              # all classes, also those that only open requests still have
     fresh: tuple[tuple[int, int | None], ...]       # indexes that mean another class now, and the one each follows
     live: tuple[int, ...]                           # those that requests still come with
+    once: frozenset[int] = frozenset()              # those of which none may be repeated, as the new word is stricter
 
 
 class Warned(NamedTuple):
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -15,7 +15,8 @@
 from gateusher.config.classes import Classes, Kind
 from gateusher.config.model import usual_methods
 from gateusher.listeners import http as server_module
-from gateusher.policy.interface import ClassSettings, Departed, Effect, Outcome, Refuse, Request, Retuned, Send
+from gateusher.policy.interface import (ClassSettings, Departed, Effect, Fail, Outcome, Refuse, Request, Retuned,
+                                        Send, SetTimer, TimerFired)
 
 from .helpers import ended, settings, started
 from .net import LANES, OK, Discovery, Endpoint, Writer, configuration, host, look, pay, read_message, rig
@@ -32,11 +33,17 @@
     return [Kind(name, s, usual_methods(s.effect)) for name, s in config.items()]
 
 
+def forbids(new: Effect, old: Effect) -> bool:
+    order = [Effect.SAFE, Effect.KEYED, Effect.UNSAFE]
+    return order.index(new) > order.index(old)
+
+
 @given(CONFIGS, st.lists(st.tuples(CONFIGS, st.integers(0, 2**32)), max_size=12))
 def test_no_open_request_ever_sees_its_class_change(first: dict[bytes, ClassSettings],
                                                     rest: list[tuple[dict[bytes, ClassSettings], int]]) -> None:
     table = Classes(kinds(first))
     held: dict[int, Kind] = {}   # slots of open requests, and what they meant when these came
+    once: set[int] = set()       # those of which a later word forbids a repeat
     for config, seed in rest:
         draw = random.Random(seed)
         held = {slot: kind for slot, kind in held.items() if draw.random() < 0.5}
@@ -53,6 +60,10 @@
         same = {k.name for k in kinds(config) if k.name in before and was[before[k.name]] == k}
         assert all(table.current[name] == before[name] for name in same), "what hasn't changed stays where it is"
         changed = {slot for slot, _ in change.fresh}
+        once = {slot for slot in once if slot not in changed} | {
+            slot for slot, kind in {**held, **{s: was[s] for s in before.values()}}.items()
+            if kind.name in config and forbids(config[kind.name].effect, kind.settings.effect)}
+        assert change.once == once, "and only the stricter word reaches open requests"
         assert all(change.kinds[i] == was[i] for i in range(len(was)) if i not in changed)
         assert all(heir == before.get(change.kinds[slot].name) for slot, heir in change.fresh)
     assert len(table.kinds) <= 16  # four names, now and before, and what open requests hold
@@ -223,6 +234,54 @@
     run(test())
 
 
+@pytest.mark.parametrize(("before", "after", "sends", "said"), [
+    ("idempotent", "at_most_once", 1, 502), ("idempotent", "deduplicated", 1, 502),
+    ("idempotent", "idempotent", 2, 200), ("at_most_once", "idempotent", 1, 502)])
+def test_a_name_that_changes_its_effect_under_an_attempt(before: str, after: str, sends: int, said: int,
+                                                         tmp_path: Path) -> None:
+    """The stricter of both holds: the endpoint that has it may go by the new word already."""
+    async def test() -> None:
+        came, go = asyncio.Event(), asyncio.Event()
+
+        async def once(head: bytes, writer: Writer) -> None:
+            if b"open" in head and not go.is_set():
+                came.set()
+                await go.wait()
+                writer.transport.abort()  # it may have run
+            else:
+                writer.write(OK)
+
+        endpoint, discovery = Endpoint(once), Discovery([])
+        async with rig(endpoint, discovery=discovery) as r:
+            file, lane = File(tmp_path, r, setup(endpoint, discovery)), {**LANES[0], "window_ms": 5000}
+            file.lanes({**lane, "effect": before}, LANES[1])
+            asked = look("open") if before == "idempotent" else pay("open").replace(b"pay", b"look")
+            opened = asyncio.create_task(r.ask(asked))
+            await came.wait()
+            file.lanes({**lane, "effect": after, "worth": 2}, LANES[1])
+            go.set()
+            head, _ = await opened
+            assert status(head) == said and sum(b"open" in seen for seen in endpoint.seen) == sends
+            file.lanes({**lane, "effect": "idempotent", "worth": 3}, LANES[1])   # and what comes now goes by this
+            assert status((await r.ask(look("new")))[0]) == 200
+    run(test())
+
+
+def test_a_request_that_is_held_when_its_class_becomes_unsafe_is_not_sent_again() -> None:
+    """It may have run, and waits for another attempt as the new word comes."""
+    balancer = started(2, settings(classes=(SAFE,), max_attempts=6))
+    (sent,) = [a for a in balancer.handle(0.0, Request(1, 0, 3000)) if isinstance(a, Send)]
+    for server in balancer.servers.values():
+        server.out_until = 1e9   # nobody else to ask: the request is held
+    acts = balancer.handle(1.0, ended(1, 0, sent.endpoint, Outcome.RESET))
+    (timer,) = [a for a in acts if isinstance(a, SetTimer)]
+    balancer.handle(2.0, Retuned(settings(classes=(SAFE, UNSAFE)), ((1, 0),), (1,), frozenset({0})))
+    for server in balancer.servers.values():
+        server.out_until = 0.0
+    acts = balancer.handle(3.0 + timer.delay_ms, TimerFired(timer.token))
+    assert [type(a) for a in acts] == [Fail]
+
+
 def paths(value: Any, path: tuple[Any, ...] = ()) -> list[tuple[Any, ...]]:
     """Every key in a configuration, but for the list of endpoints."""
     found: list[tuple[Any, ...]] = []
