A time-out tells the door at once where its server was not late before

- A time-out weighs in vain at the door where the server's last attempt was not one; at one that is late already only if all are late.
So a server that hangs counts once, one that is slow each time anew.
- All are late where half of eight servers are, in place of half of a large fleet.

--- a/gateusher/policy/brain.py
+++ b/gateusher/policy/brain.py
@@ -30,7 +30,8 @@
 AT_ONCE = 4                      # so many tries follow each other at once
 AGAIN, IN_NEED = 125.0, 1000.0   # half the first wait after a failed watch; the longest while in need
 QUEUED = 4.0                     # so many times longer does an attempt wait where all turn work away
-LATE, IN_VAIN = 1 / 3, 2.0       # part of the attempts beyond which all servers are late, and what each then weighs
+LATE, IN_VAIN = 1 / 3, 2.0       # part of the attempts beyond which all are late; what one that runs out weighs
+SOME = 8                         # so many servers tell of all
 LOOKED_AT = 64                   # cold servers that are looked at for one request
 LEVELS = 14                      # levels of c, each half of the one before
 BROKE = (Outcome.CONNECT_FAILED, Outcome.RESET)
@@ -437,18 +438,19 @@
         still fills them, so each such attempt cost a server its work and served nobody: it weighs IN_VAIN, and the
         door settles where one in six to three does.  Weighed like a turning away the door stayed open until the
         queues held seconds of work that nobody waited for, and opened again at the first answers.  It could harm
-        where over a third of the attempts meet servers that hang while the others have room, until these are struck.
+        where much of a fleet falls silent at once while the others have room: each of these counts once.
         """
         part = TURNED_AWAY + NARROWER * max(0.0, 1.0 - self.room)
         step = PACE * (part if served else -in_vain or part - 1.0)
         self.room = min(ROOM_MOST, max(ROOM_LEAST, self.room + step * max(0.25, self.room)))
 
     def _all_late(self) -> float:
-        """How far time runs out everywhere, 0 to 1: at over LATE of the attempts, and at most of the servers.
+        """How far time runs out everywhere, 0 to 1: at over LATE of the attempts, and at half of SOME servers.
 
-        The attempts alone would tell the same of one server that hangs and draws them.
+        The attempts alone would tell the same of one server that hangs and draws them.  A client of a large fleet
+        that waited for half of all servers would know after seconds, when their queues hold as much in vain.
         """
-        if self.late <= LATE or sum(s.late for s in self.ready) * 2 <= len(self.ready):
+        if self.late <= LATE or sum(s.late for s in self.ready) * 2 <= min(SOME, len(self.ready)):
             return 0.0
         return (self.late - LATE) / (1.0 - LATE)
 
@@ -592,6 +594,7 @@
         if outcome in (Outcome.OK, Outcome.FULL):
             self._found_room(outcome is Outcome.OK and self.now - work.began <= self.s.classes[cls].aim_ms)
         self.full += ((outcome is Outcome.FULL) - self.full) * 0.05
+        was_late = server.late
         if outcome in (Outcome.OK, Outcome.FULL, Outcome.TIMEOUT):
             self.late += ((outcome is Outcome.TIMEOUT) - self.late) * 0.05
             server.late = outcome is Outcome.TIMEOUT
@@ -628,8 +631,8 @@
             self._miss(server, cls, sent_at)
         elif outcome in (Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET):
             server.dead = outcome is Outcome.CONNECT_FAILED
-            if outcome is Outcome.TIMEOUT and self._all_late():
-                self._found_room(False, IN_VAIN)
+            if outcome is Outcome.TIMEOUT and (not was_late or self._all_late()):
+                self._found_room(False, IN_VAIN)  # one that hangs counts once; of one that is slow, each time anew
             elif outcome is Outcome.TIMEOUT and server.heard_at >= sent_at:
                 self._found_room(False)  # it serves others: too much for it, no stall
             self._strike(server, sent_at)
