--- a/checker/state.py
+++ b/checker/state.py
@@ -171,7 +171,8 @@
                   for w in balancer.work.values())
     learnt: Any = ()
     if not quiet:
-        learnt = (round(balancer.full, 3), round(balancer.late, 3), sorted(balancer.once), round(balancer.room, 3), tuple(round(t, 1) for t in balancer.target),
+        learnt = (round(balancer.full, 3), round(balancer.late, 3), tuple(sorted(balancer.once)),
+                  round(balancer.room, 3), tuple(round(t, 1) for t in balancer.target),
                   tuple(round(t, 1) for t in balancer.service), tuple(round(m, 3) for m in balancer.mix))
     if not last:
         learnt += (since(balancer.room_at), round(balancer.rate, 6), since(balancer.rate_at),
