One wait and one way to play a story serve the tests; the explorer's reloads share theirs

The two loops and play() were in three files, now in tests/standing/loops.py. World._retune and World._tighten followed a configuration each in its own words. No assertion, bound or story changed; the program is untouched.

--- a/checker/world.py
+++ b/checker/world.py
@@ -28,7 +28,7 @@
 from gateusher.listeners import http as listener_module
 from gateusher.listeners.http import Client
 from gateusher.policy.brain import Balancer
-from gateusher.policy.interface import AttemptEnded, Effect, Send
+from gateusher.policy.interface import AttemptEnded, Effect, Send, Settings
 from gateusher.upstream import http as upstream_module
 from gateusher.upstream.http import Connection, Upstream
 
@@ -509,6 +509,9 @@
         self.retuned += 1
         classes = tuple(replace(c, worth=c.worth + self.retuned) for c in self.config.settings.classes)
         settings = replace(self.config.settings, max_attempts=(3, 1, 2, 3)[self.retuned], classes=classes)
+        self._follow(settings)
+
+    def _follow(self, settings: Settings) -> None:
         self.sidecar.follow(self.config._replace(
             settings=settings, known={"hosts": [h for h in self.hosts if h["health"] != "Gone"]}))
 
@@ -517,9 +520,7 @@
         self.retuned += 1
         usual = self.config.settings.classes
         for classes in (tuple(replace(c, effect=Effect.UNSAFE) for c in usual), usual):
-            self.sidecar.follow(self.config._replace(
-                settings=replace(self.config.settings, classes=classes),
-                known={"hosts": [h for h in self.hosts if h["health"] != "Gone"]}))
+            self._follow(replace(self.config.settings, classes=classes))
         for ask in self.story.asks.values():
             ask.once = ask.once or self.call(ask) is not None
         self.sidecar.server.former = {}   # what comes in a form that holds for a moment more is another matter
--- a/tests/conformance/stage.py
+++ b/tests/conformance/stage.py
@@ -10,7 +10,7 @@
 from gateusher.standins.nodes import Act, Fleet, Node, Silent
 from gateusher.standins.wire import Catalog
 
-from ..helpers import HANG_S
+from ..helpers import until
 from .faces import FACES, Ask, Face, Result
 
 CLASSES: dict[str, Any] = {
@@ -84,9 +84,7 @@
 
     async def until(self, true: Callable[[], bool]) -> None:
         """Until something that a turn of the loop brings about is so."""
-        async with asyncio.timeout(HANG_S):
-            while not true():
-                await asyncio.sleep(0.001)
+        await until(true)
 
     async def at_rest(self) -> None:
         """Nothing is held for any request: no call, id, attempt or byte, and no connection but idle ones."""
--- a/tests/handover/test_upgrade.py
+++ b/tests/handover/test_upgrade.py
@@ -20,7 +20,7 @@
 from gateusher.handover.machine import LEAST_LENT
 from gateusher.listeners.phases import HANDED, SERVING
 
-from ..helpers import HANG_S
+from ..helpers import HANG_S, until
 from ..net import OK, Discovery, Endpoint, Reader, Writer, configuration, host, look, read_message, unused
 from ..test_sockets import ROOT, run, status
 
@@ -82,13 +82,6 @@
             server.close()
 
 
-async def until(true: object) -> None:
-    assert callable(true)
-    async with asyncio.timeout(HANG_S):
-        while not true():
-            await asyncio.sleep(0.005)
-
-
 def test_an_upgrade_under_load_loses_nobody(tmp_path: Path) -> None:
     async def test() -> None:
         async with pair(tmp_path) as p:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,4 +1,7 @@
-"""Small builders for the tests."""
+"""Small builders for the tests, and a wait that ends when something is so."""
+
+import asyncio
+from collections.abc import Callable
 
 from gateusher.policy.brain import Balancer
 from gateusher.policy.interface import (AttemptEnded, ClassSettings, Effect, Endpoint, ListKind, ListNews,
@@ -7,6 +10,12 @@
 HANG_S = 120  # only what never comes takes so long, however busy the machine is
 
 
+async def until(true: Callable[[], object]) -> None:
+    async with asyncio.timeout(HANG_S):
+        while not true():
+            await asyncio.sleep(0.001)
+
+
 def settings(effect: Effect = Effect.SAFE, scope: Scope = Scope.ALL, **more: object) -> Settings:
     cls = ClassSettings(effect, aim_ms=1000, deadline_ms=3000, worth=1, scope=scope, window_ms=400)
     return Settings(**{"classes": (cls,), "max_attempts": 6, "cold_share": 0.3, "warm_within_ms": 8000.0,
--- a/tests/library/rig.py
+++ b/tests/library/rig.py
@@ -26,12 +26,6 @@
                   "nodes": [{"name": n.name, "address": f"127.0.0.1:{n.port}"} for n in nodes], **more})
 
 
-async def until(true: Callable[[], bool]) -> None:
-    async with asyncio.timeout(HANG_S):
-        while not true():
-            await asyncio.sleep(0.001)
-
-
 def at_rest(gateway: Gateway) -> bool:
     """Nothing is held for any request."""
     node = gateway._node
--- a/tests/library/test_asgi.py
+++ b/tests/library/test_asgi.py
@@ -20,7 +20,8 @@
 from gateusher.asgi import GatewayMiddleware
 from gateusher.standins.nodes import NotRun, Reply, Reset, Stall
 
-from .rig import at_rest, config, fleet_of, rig, run, until
+from ..helpers import until
+from .rig import at_rest, config, fleet_of, rig, run
 
 
 async def issue(request: Request) -> PlainTextResponse:
--- a/tests/library/test_cancel.py
+++ b/tests/library/test_cancel.py
@@ -14,7 +14,8 @@
 from gateusher.config.file import parse
 from gateusher.standins.nodes import NotRun, Reply, Reset, Silent, Stall
 
-from .rig import CLASSES, at_rest, config, fleet_of, rig, run, until
+from ..helpers import until
+from .rig import CLASSES, at_rest, config, fleet_of, rig, run
 
 LOOPS = [asyncio.new_event_loop, uvloop.new_event_loop]
 
--- a/tests/library/test_httpx.py
+++ b/tests/library/test_httpx.py
@@ -11,7 +11,8 @@
 from gateusher.httpx import GatewayTransport
 from gateusher.standins.nodes import NotRun, Reply, Reset, Stall
 
-from .rig import Rig, at_rest, rig, run, until
+from ..helpers import until
+from .rig import Rig, at_rest, rig, run
 
 
 @asynccontextmanager
--- a/tests/library/test_isolation.py
+++ b/tests/library/test_isolation.py
@@ -19,7 +19,8 @@
 from gateusher.node import MEMORY_SHARE
 from gateusher.standins.nodes import Fleet, Node, Stall
 
-from .rig import config, fleet_of, rig, run, until
+from ..helpers import until
+from .rig import config, fleet_of, rig, run
 
 
 def test_two_on_one_loop_know_nothing_of_each_other() -> None:
--- a/tests/membership/test_udp.py
+++ b/tests/membership/test_udp.py
@@ -17,7 +17,7 @@
 from gateusher.membership.interface import Changed, Heard, State
 from gateusher.membership.udp import Endpoint
 
-from ..helpers import HANG_S
+from ..helpers import HANG_S, until
 
 KEY = bytes(range(16))
 
@@ -36,12 +36,6 @@
             Membership(name="b", listen=b, peers=(("a", a),), **quick))  # type: ignore[arg-type]
 
 
-async def until(true: Callable[[], bool]) -> None:
-    async with asyncio.timeout(HANG_S):
-        while not true():
-            await asyncio.sleep(0.005)
-
-
 def run(test: Callable[[], object]) -> None:
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(asyncio.wait_for(test(), 2 * HANG_S))  # type: ignore[arg-type]
--- a/tests/standing/test_crossings.py
+++ b/tests/standing/test_crossings.py
@@ -2,22 +2,18 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Coroutine
 from typing import Any
 
 import pytest
-import uvloop
 
 from gateusher.core.engine import Engine
 from gateusher.policy.interface import Outcome
 from gateusher.upstream import http as upstream
 from gateusher.upstream.states import ATTEMPT, DONE, SENT, TURN, VOID
 
-from ..helpers import HANG_S
+from ..helpers import until
 from ..net import Endpoint, Rig, configuration, look, pay, rig
-
-LOOPS = pytest.mark.parametrize("loop", [asyncio.new_event_loop, uvloop.new_event_loop], ids=["asyncio", "uvloop"])
-Story = Callable[[], Coroutine[Any, Any, None]]
+from .loops import LOOPS, Loop, play
 
 
 def hasty(dial_s: float, **rules: float) -> dict[str, Any]:
@@ -28,11 +24,6 @@
     return settings
 
 
-def play(story: Story, loop: Callable[[], asyncio.AbstractEventLoop]) -> None:
-    with asyncio.Runner(loop_factory=loop) as runner:
-        runner.run(story())
-
-
 def outcomes(monkeypatch: pytest.MonkeyPatch) -> list[Outcome]:
     """What the core is told of attempts, from here on."""
     told: list[Outcome] = []
@@ -51,18 +42,19 @@
 async def idle(r: Rig) -> None:
     """Every descriptor but the list's is given back once all that is idle is closed."""
     node = r.sidecar.node
-    async with asyncio.timeout(HANG_S):
-        while node.upstream._conns or r.sidecar.server._clients:
-            for eid in list(node.upstream._hosts):
-                node.upstream.close_idle(eid)
-            await asyncio.sleep(0)
+
+    def closed() -> bool:
+        for eid in list(node.upstream._hosts):
+            node.upstream.close_idle(eid)
+        return not (node.upstream._conns or r.sidecar.server._clients)
+    await until(closed)
     assert node.descriptors.used == 0
 
 
 @LOOPS
 @ASKED
 def test_a_dial_whose_time_is_over_in_the_turn_in_which_it_comes_up(
-        loop: Callable[[], asyncio.AbstractEventLoop], asked: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
+        loop: Loop, asked: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
     """The request is written and then the dial's time is over, before the dial's task has run on.
 
     It was said to have failed to connect, so an unsafe request went out a second time.
@@ -91,7 +83,7 @@
 @LOOPS
 @ASKED
 def test_a_dial_whose_time_is_over_just_before_it_comes_up(
-        loop: Callable[[], asyncio.AbstractEventLoop], asked: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
+        loop: Loop, asked: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
     """The other order: the connection is there and the loop has not said so yet.  Nothing is written on it."""
     told, made, dials = outcomes(monkeypatch), upstream.Connection.connection_made, list[object]()
 
--- a/tests/standing/test_end.py
+++ b/tests/standing/test_end.py
@@ -7,24 +7,15 @@
 import socket
 import subprocess
 import sys
-from collections.abc import Callable
 from pathlib import Path
-from typing import Any
 
 import pytest
-import uvloop
 
 from gateusher.listeners.http import Client
 
-from ..helpers import HANG_S
+from ..helpers import HANG_S, until
 from ..net import Endpoint, Rig, Writer, configuration, look, pay, read_message, rig
-
-LOOPS = pytest.mark.parametrize("loop", [asyncio.new_event_loop, uvloop.new_event_loop], ids=["asyncio", "uvloop"])
-
-
-def play(story: Any, loop: Callable[[], asyncio.AbstractEventLoop]) -> None:
-    with asyncio.Runner(loop_factory=loop) as runner:
-        runner.run(story())
+from .loops import LOOPS, Loop, play
 
 
 async def hang(head: bytes, writer: Writer) -> None:
@@ -32,9 +23,7 @@
 
 
 async def open_calls(r: Rig, count: int) -> None:
-    async with asyncio.timeout(HANG_S):
-        while len(r.sidecar.engine.calls) < count:
-            await asyncio.sleep(0.002)
+    await until(lambda: len(r.sidecar.engine.calls) >= count)
 
 
 def close_first(r: Rig) -> None:
@@ -48,7 +37,7 @@
 @pytest.mark.parametrize("asked", [look("l1"), pay("p1"), look("l1") + look("l2") + look("l3")],
                          ids=["safe", "unsafe", "one behind another"])
 def test_the_end_of_the_listener_before_the_end_of_the_deadlines(
-        asked: bytes, loop: Callable[[], asyncio.AbstractEventLoop]) -> None:
+        asked: bytes, loop: Loop) -> None:
     """Each request that was taken gets its answer, and only then the connection is closed."""
     async def story() -> None:
         async with rig(Endpoint(hang)) as r:
@@ -66,7 +55,7 @@
 
 
 @LOOPS
-def test_the_end_while_a_long_body_is_half_through(loop: Callable[[], asyncio.AbstractEventLoop]) -> None:
+def test_the_end_while_a_long_body_is_half_through(loop: Loop) -> None:
     """It was never whole, so it was never taken: it is refused, and no endpoint begins it."""
     async def story() -> None:
         endpoint = Endpoint()
@@ -83,7 +72,7 @@
 
 
 @LOOPS
-def test_a_process_that_is_closed_at_once_answers_first(loop: Callable[[], asyncio.AbstractEventLoop]) -> None:
+def test_a_process_that_is_closed_at_once_answers_first(loop: Loop) -> None:
     async def story() -> None:
         async with rig(Endpoint(hang)) as r:
             reader, writer = await r.connect()
@@ -98,7 +87,7 @@
 
 @LOOPS
 def test_a_connection_that_is_given_up_while_it_is_taken_in(
-        loop: Callable[[], asyncio.AbstractEventLoop], monkeypatch: pytest.MonkeyPatch) -> None:
+        loop: Loop, monkeypatch: pytest.MonkeyPatch) -> None:
     """Accepted and closed in one turn: the loop makes it only after that, and nothing would have closed it."""
     made = Client.connection_made
     came: list[Client] = []
@@ -117,9 +106,7 @@
                 sock.setblocking(False)
                 data = await asyncio.wait_for(asyncio.get_running_loop().sock_recv(sock, 100), HANG_S)
                 assert data == b"" and not endpoint.seen
-            async with asyncio.timeout(HANG_S):
-                while r.sidecar.server._clients:
-                    await asyncio.sleep(0.002)
+            await until(lambda: not r.sidecar.server._clients)
             assert r.sidecar.node.descriptors.used == 0
     play(story, loop)
 
--- a/tests/standing/test_leaving.py
+++ b/tests/standing/test_leaving.py
@@ -7,22 +7,17 @@
 from typing import Any
 
 import pytest
-import uvloop
 
 from gateusher.listeners.http import Client
 from gateusher.upstream.http import SETTLE_MS
 
-from ..helpers import HANG_S
+from ..helpers import HANG_S, until
 from ..net import OK, Endpoint, Rig, Writer, look, pay, read_message, rig
+from .loops import play
 
 TURNED_AWAY = b"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 
 
-def play(story: Any) -> None:
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(story())
-
-
 def connect(r: Rig) -> socket.socket:
     return socket.create_connection(("127.0.0.1", r.sidecar.server.port))
 
@@ -35,9 +30,7 @@
 
 async def nobody_is_left(r: Rig, lost: int, gone: list[Client]) -> None:
     """Until so many connections are gone and every request is settled."""
-    async with asyncio.timeout(HANG_S):
-        while len(gone) < lost or r.sidecar.engine.calls:
-            await asyncio.sleep(0.002)
+    await until(lambda: len(gone) >= lost and not r.sidecar.engine.calls)
 
 
 @pytest.fixture
@@ -63,10 +56,9 @@
             head, _ = await r.ask(look("first"))
             assert head.startswith(b"HTTP/1.1 200")
             node = r.sidecar.node
-            async with asyncio.timeout(HANG_S):   # the kept connection has rested, and would be used
-                while not any(c.idle_since <= node.clock.now() - SETTLE_MS for h in node.upstream._hosts.values()
-                              for c in h.idle):
-                    await asyncio.sleep(0.002)
+            # The kept connection has rested, and would be used.
+            await until(lambda: any(c.idle_since <= node.clock.now() - SETTLE_MS
+                                    for h in node.upstream._hosts.values() for c in h.idle))
             for _ in range(20):
                 sock = connect(r)
                 sock.sendall(asked)
@@ -120,17 +112,11 @@
             sock.sendall(look("long") + look("l2"))
             await asyncio.wait_for(out.wait(), HANG_S)
             (client,) = r.sidecar.server._clients
-            async with asyncio.timeout(HANG_S):
-                while not client._blocked:
-                    await asyncio.sleep(0.002)
+            await until(lambda: client._blocked)
             sock.shutdown(socket.SHUT_WR)
-            async with asyncio.timeout(HANG_S):
-                while not (client._transport is None or client._transport.is_closing()):
-                    await asyncio.sleep(0.002)
+            await until(lambda: client._transport is None or client._transport.is_closing())
             turn.set()
-            async with asyncio.timeout(HANG_S):
-                while any(call.name == b"l2" for call in r.sidecar.engine.calls.values()):
-                    await asyncio.sleep(0.002)
+            await until(lambda: all(call.name != b"l2" for call in r.sidecar.engine.calls.values()))
             seen = [head for end in ends for head in end.seen if b"X-Request-Id: l2" in head]
             assert len(seen) == 1
             sock.close()
@@ -171,9 +157,7 @@
             sock.setblocking(False)
             loop = asyncio.get_running_loop()
             await loop.sock_sendall(sock, pay("p1", "60", b"Content-Length: %d\r\n" % size, bytes(size - 1000)))
-            async with asyncio.timeout(HANG_S):
-                while not r.sidecar.engine.calls or endpoint.got < size - 1000:
-                    await asyncio.sleep(0.002)
+            await until(lambda: r.sidecar.engine.calls and endpoint.got >= size - 1000)
             (call,) = r.sidecar.engine.calls.values()
             assert call.upload
             call.upload.hold()
@@ -213,9 +197,7 @@
         async with rig(end) as r:
             reader, writer = await r.connect()
             writer.write(pay("p1", "60"))
-            async with asyncio.timeout(HANG_S):
-                while not r.sidecar.node.upstream._conns:
-                    await asyncio.sleep(0.002)
+            await until(lambda: r.sidecar.node.upstream._conns)
             writer.close()
             await nobody_is_left(r, 1, gone)
             assert not any(conn.attempt for conn in r.sidecar.node.upstream._conns)
--- a/tests/standing/test_lists.py
+++ b/tests/standing/test_lists.py
@@ -11,7 +11,7 @@
 from gateusher.daemon import Sidecar
 from gateusher.discovery import catalog
 
-from ..helpers import HANG_S
+from ..helpers import HANG_S, until
 from ..net import Endpoint, Reader, Rig, Writer, configuration, host, look, read_message
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -67,10 +67,8 @@
     asyncio.run(run())
 
 
-async def until(sidecar: Sidecar, seq: int) -> None:
-    async with asyncio.timeout(HANG_S):
-        while sidecar.discovery.seq < seq:
-            await asyncio.sleep(0.005)
+async def told_of(sidecar: Sidecar, seq: int) -> None:
+    await until(lambda: sidecar.discovery.seq >= seq)
 
 
 async def drained_is_left(r: Rig, ends: list[Endpoint]) -> None:
@@ -88,7 +86,7 @@
         line, writer = await agent.call()
         assert line == b"GET /catalog/members?watch=1&from=1 HTTP/1.1"
         writer.write(HEAD + chunk(told(2, host("e0", ends[0].port, "Terminating"))))
-        await until(r.sidecar, 2)
+        await told_of(r.sidecar, 2)
         await drained_is_left(r, ends)
     play("push", story)
 
@@ -105,7 +103,7 @@
                 writer.write(b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
         _, writer = await agent.call()
         writer.write(HEAD + chunk(told(2, host("e0", ends[0].port, "Terminating"))))
-        await until(r.sidecar, 2)
+        await told_of(r.sidecar, 2)
         await drained_is_left(r, ends)
     play("push", story, grace_ms=400.0)
 
@@ -119,9 +117,9 @@
         text = told(2, odd, indent=indent)
         for cut in range(0, len(text), 7):
             writer.write((HEAD if cut == 0 else b"") + chunk(text[cut:cut + 7]))
-        await until(r.sidecar, 2)
+        await told_of(r.sidecar, 2)
         writer.write(chunk(told(3)))
-        await until(r.sidecar, 3)
+        await told_of(r.sidecar, 3)
         assert agent.calls.empty()  # the same watch all the time
         await drained_is_left(r, ends)
     play(mode, story)
@@ -140,7 +138,7 @@
         task = asyncio.create_task(trickle())
         _, again = await agent.call()
         again.write(HEAD + chunk(told(2, host("e0", ends[0].port, "Terminating"))))
-        await until(r.sidecar, 2)
+        await told_of(r.sidecar, 2)
         task.cancel()
         await drained_is_left(r, ends)
     play("ask", story)
@@ -162,7 +160,7 @@
             assert line == b"GET /catalog/members HTTP/1.1"
             body = told(4, host("e0", ends[0].port, "Terminating"), host("e1", ends[1].port), whole=True)
             again.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
-        await until(r.sidecar, 4)
+        await told_of(r.sidecar, 4)
         await drained_is_left(r, ends)
     play("ask", story)
     log = [record.getMessage() for record in caplog.records if record.name == "gateusher"]
@@ -174,7 +172,7 @@
     async def story(r: Rig, agent: Agent, ends: list[Endpoint]) -> None:
         _, writer = await agent.call()
         writer.write(HEAD + chunk(told(2)))
-        await until(r.sidecar, 2)
+        await told_of(r.sidecar, 2)
         discovery = r.sidecar.discovery
         assert isinstance(discovery, catalog.Discovery)
         watch = discovery._watch
@@ -183,7 +181,7 @@
         watch.silent_at = 0.0
         discovery.sweep()
         assert discovery._watch is watch
-        await until(r.sidecar, 3)
+        await told_of(r.sidecar, 3)
         watch.silent_at = 0.0
         discovery.sweep()
         assert discovery._watch is None  # and now there was nothing
