When to call for the list is one pure machine: a call that waits keeps its turn, another beside it

discovery/calls.py owns when to call, call beside, give up and wait; its bound for each path stands at its top. discovery/catalog.py keeps the I/O, discovery/lists.py reads lists (moved, unchanged). Where two calls are out, what was asked for before track was lost is not taken. The module's first waits grow fourfold in place of twofold, since calls are now capped, and a timer of before a later failure asks for nothing.

Tests: every order (checker/calls.py, 20,000 states each from two starts, settled) and eleven planted faults, the I/O in virtual time, one on real sockets; on the untouched program that one and the module's fail (seen). test_lists: "the watch is None" became "another call is out beside it", as silence no longer ends a watch at once.

--- a/checker/mutate.py
+++ b/checker/mutate.py
@@ -29,7 +29,9 @@
     "gateusher.upstream.states": (),
     "gateusher.listeners.http": (),
     "gateusher.client": (),
+    "gateusher.discovery.calls": (),
     "gateusher.discovery.catalog": (),
+    "gateusher.discovery.lists": (),
     "gateusher.policy.brain": (
         "_news", "_entry", "_chill", "_retire", "_usable", "_has_credit", "_pick_home", "_request", "_try", "_hold",
         "_send", "_end", "_come_back", "_forget", "_timer", "_departed", "_ended", "_fell_short", "_watch"),
--- a/checker/world.py
+++ b/checker/world.py
@@ -25,6 +25,7 @@
 from gateusher.daemon import Sidecar
 from gateusher.discovery import catalog as catalog_module
 from gateusher.discovery import fixed as fixed_module
+from gateusher.discovery import lists as lists_module
 from gateusher.listeners import http as listener_module
 from gateusher.listeners.http import Client
 from gateusher.policy.brain import Balancer
@@ -153,6 +154,7 @@
 PATCHED = ((node_module, "Clock"), (client_module, "time"), (upstream_module, "select"), (upstream_module, "say"),
            (listener_module, "select"), (listener_module, "socket"), (listener_module, "say"),
            (upstream_module, "MOST_BODY"), (catalog_module, "say"), (catalog_module, "select"), (fixed_module, "say"),
+           (lists_module, "say"),
            (daemon_module, "DRAIN_STEP_S"), (machine.Table, "illegal"))
 
 
--- a/gateusher/discovery/fixed.py
+++ b/gateusher/discovery/fixed.py
@@ -9,7 +9,7 @@
 from ..base.log import say
 from ..config.model import Names
 from ..policy.interface import ListKind, ListNews
-from .catalog import HostLine, LineError, read_list
+from .lists import HostLine, LineError, read_list
 
 
 class Fixed:
--- a/gateusher/node.py
+++ b/gateusher/node.py
@@ -13,7 +13,8 @@
 from .config.classes import Classes, Kind
 from .config.model import Config
 from .core.engine import Engine
-from .discovery.catalog import Discovery, HostLine
+from .discovery.catalog import Discovery
+from .discovery.lists import HostLine
 from .policy.interface import ListNews, Woke
 from .upstream.http import Upstream
 from .upstream.reports import reader
@@ -64,7 +65,7 @@
         self.discovery: Discovery | Fixed
         if config.discovery:
             self.discovery = Discovery(config.discovery, config.names, news, update, self.upstream.knows,
-                                       not settings.must_ask, settings.drain_grace_ms)
+                                       not settings.must_ask, settings.drain_grace_ms, config.seed)
         else:
             from .discovery.fixed import Fixed  # noqa: PLC0415 - the platform's daemon starts without it
 
--- a/gateusher/policy/brain.py
+++ b/gateusher/policy/brain.py
@@ -28,7 +28,7 @@
 TURNED_AWAY, NARROWER = 0.4, 0.5  # part of its attempts that may find no place at full width, and more below
 ROOM_LEAST, ROOM_MOST = 0.1, 1.5  # its bounds: never shut, and full again soon after
 AT_ONCE = 4                      # so many tries follow each other at once
-AGAIN, IN_NEED = 125.0, 1000.0   # half the first wait after a failed watch; the longest while in need
+AGAIN, IN_NEED = 250.0, 1000.0   # the first wait after a failed watch; the longest while in need
 QUEUED = 4.0                     # so many times longer does an attempt wait where all turn work away
 LATE, IN_VAIN = 1 / 3, 2.0       # part of the attempts beyond which all are late; what one that runs out weighs
 SOME = 8                         # so many servers tell of all
@@ -51,7 +51,7 @@
         self.levels: list[list[Server]] = [[] for _ in range(LEVELS)]
         self.gaps = [log1p(-(0.5 ** k)) if k else 0.0 for k in range(LEVELS)]
         self.total, self.floor = 0.0, 0.01
-        self.watching, self.watch_fails, self.watch_from = False, 0, 0.0
+        self.watching, self.watch_fails, self.watch_from, self.watch_due = False, 0, 0.0, 0.0
         self.work: dict[int, Work] = {}
         self.live: tuple[int, ...] = tuple(range(len(settings.classes)))
         self.once: frozenset[int] = frozenset()   # classes that were repeatable until other settings came
@@ -124,9 +124,9 @@
             self.watching = False
             self.watch_fails += 1
             part = 0.5 + self.rnd() / 2
-            wait = min(AGAIN * 2 ** min(20, self.watch_fails), self.s.must_ask_in_ms / 2)
+            wait = min(AGAIN * 4 ** min(20, self.watch_fails - 1), self.s.must_ask_in_ms / 2)
             self.watch_from = self.now + part * min(wait, IN_NEED)
-            self.acts.append(SetTimer(WATCH, part * wait))
+            self._watch_after(part * wait)
             return
         self.watch_fails = 0
         self.words.version = news.version
@@ -147,7 +147,12 @@
         self._refill()
         if news.kind == ListKind.CACHED and self.s.must_ask:
             # A restart wave must not become a stampede on the list service.
-            self.acts.append(SetTimer(WATCH, self.rnd() * self.s.must_ask_in_ms * 0.3))
+            self._watch_after(self.rnd() * self.s.must_ask_in_ms * 0.3)
+
+    def _watch_after(self, wait_ms: float) -> None:
+        """Of several timers that are out only the last one set counts: the list may have failed again meanwhile."""
+        self.watch_due = self.now + wait_ms
+        self.acts.append(SetTimer(WATCH, wait_ms))
 
     def _watch(self) -> None:
         if not self.watching:
@@ -525,7 +530,7 @@
 
     def _timer(self, event: TimerFired) -> None:
         if event.token == WATCH:
-            return self._watch()
+            return self._watch() if self.now >= self.watch_due - self.s.tick_ms else None
         if event.token == FELLOWS:
             return faded(self)
         work = self.work.get(event.token - HOLD)
--- a/gateusher/rehearsal/gate.py
+++ b/gateusher/rehearsal/gate.py
@@ -7,7 +7,7 @@
 
 from ..base.clock import Clock
 from ..base.log import say
-from ..discovery.catalog import HostLine
+from ..discovery.lists import HostLine
 from ..policy.interface import ListKind, ListNews
 from .ask import NoStandInError, ask
 from .proofs import Ask, List, Proofs, Proved, Tell, Tick
--- a/gateusher/rehearsal/proofs.py
+++ b/gateusher/rehearsal/proofs.py
@@ -17,7 +17,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from ..discovery.catalog import HostLine
+from ..discovery.lists import HostLine
 from ..policy.interface import ListKind, State
 
 EVERY_MS = 1000.0
--- a/gateusher/upstream/http.py
+++ b/gateusher/upstream/http.py
@@ -16,7 +16,7 @@
 from ..policy.interface import Outcome, Settings, State
 
 from ..base.clock import Clock
-from ..discovery.catalog import HostLine
+from ..discovery.lists import HostLine
 from ..base.limits import Bytes, Descriptors
 from ..base.log import say
 from ..base.machine import IllegalMoveError
--- a/tests/rehearsal/test_proofs.py
+++ b/tests/rehearsal/test_proofs.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from gateusher.discovery.catalog import HostLine
+from gateusher.discovery.lists import HostLine
 from gateusher.policy.interface import Endpoint, ListKind, State
 from gateusher.rehearsal.proofs import Ask, List, Proofs, Proved, Tell, Tick
 
--- a/tests/standing/test_lists.py
+++ b/tests/standing/test_lists.py
@@ -167,6 +167,29 @@
     assert any("watch ended" in line for line in log) and not any("Traceback" in line for line in log)
 
 
+def test_after_a_move_a_call_that_waits_its_turn_is_not_given_up() -> None:
+    """It was closed after 1.5 s and made again, at the end of the service's line, over and over."""
+    async def story(r: Rig, agent: Agent, ends: list[Endpoint]) -> None:
+        _, writer = await agent.call()
+        writer.write(HEAD + chunk(told(2)))
+        await told_of(r.sidecar, 2)
+        other = Agent()
+        r.sidecar.discovery.move(("127.0.0.1", await other.start()))  # type: ignore[union-attr]
+        try:
+            _, first = await other.call()
+            line, second = await other.call()
+            assert line == b"GET /catalog/members HTTP/1.1"
+            body = told(1, host("e0", ends[0].port, "Terminating"), host("e1", ends[1].port), whole=True)
+            first.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+            line, again = await other.call()
+            assert again is first and line == b"GET /catalog/members?watch=1&from=1 HTTP/1.1"
+            await drained_is_left(r, ends)
+            await asyncio.wait_for(second.wait_closed(), HANG_S)
+        finally:
+            other.server.close()
+    play("ask", story)
+
+
 def test_what_is_still_unread_is_no_silence() -> None:
     """After a pause of ours the timer comes before the read: the list is there, only not handed over."""
     async def story(r: Rig, agent: Agent, ends: list[Endpoint]) -> None:
@@ -175,16 +198,15 @@
         await told_of(r.sidecar, 2)
         discovery = r.sidecar.discovery
         assert isinstance(discovery, catalog.Discovery)
-        watch = discovery._watch
-        assert watch
+        (watch,) = discovery._open.values()
         os.write(writer.get_extra_info("socket").fileno(), chunk(told(3, host("e0", ends[0].port, "Terminating"))))
-        watch.silent_at = 0.0
+        discovery.calls.due_s = 0.0
         discovery.sweep()
-        assert discovery._watch is watch
+        assert list(discovery._open.values()) == [watch]
         await told_of(r.sidecar, 3)
-        watch.silent_at = 0.0
+        discovery.calls.due_s = 0.0
         discovery.sweep()
-        assert discovery._watch is None  # and now there was nothing
+        assert len(discovery._open) == 2  # and now there was nothing: another call beside it
         await drained_is_left(r, ends)
     play("ask", story)
 
@@ -196,7 +218,7 @@
         discovery = r.sidecar.discovery
         assert isinstance(discovery, catalog.Discovery)
         made: list[object] = []
-        watch = catalog._Watch(discovery)
+        watch = catalog._Call(discovery, 0)
 
         class Transport:
             def write(self, data: bytes) -> None:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -196,6 +196,17 @@
     assert max(waits) <= 5000
 
 
+def test_a_timer_of_before_a_later_failure_asks_for_nothing() -> None:
+    """Somebody else may call in between and fail, too: each failure's timer would ask once more."""
+    balancer = Balancer(settings(must_ask=True, must_ask_in_ms=10000.0), 3)
+    (start,) = balancer.handle(0.0, ListNews(ListKind.CACHED, 1, ()))
+    (first,) = balancer.handle(0.0, ListNews(ListKind.FAILED, 0, ()))
+    (second,) = balancer.handle(1.0, ListNews(ListKind.FAILED, 0, ()))
+    assert all(isinstance(timer, SetTimer) for timer in (start, first, second))
+    assert balancer.handle(first.delay_ms, TimerFired(first.token)) == []  # type: ignore[union-attr]
+    assert balancer.handle(1.0 + second.delay_ms, TimerFired(second.token)) == [Watch(True)]  # type: ignore[union-attr]
+
+
 def test_a_silent_server_leaves_the_draws_before_its_time_out() -> None:
     balancer = started(10)
     (send,) = balancer.handle(0.0, Request(1, 0, 3000))
