--- a/checker/calls.py
+++ b/checker/calls.py
@@ -28,6 +28,7 @@
 
     wait_s: float
     lost: int = 0
+    refuses: bool = False   # calls that are out as discovery comes back are refused when they have waited for ALONE_S
 
 
 def longest() -> float:
@@ -140,6 +141,7 @@
     def settles(self) -> list[str]:
         """What holds from here on, each on a copy of its own.  Half a tick is left for rounding."""
         found = self._in_hand("whatever was before", Line(2.6), TOLD_S)
+        found += self._in_hand("what was out is refused as it comes back", Line(1.2, refuses=True), TOLD_S)
         found += self._in_hand("a line in which nobody is refused", Line(4.4), 2 * TOLD_S)
         if not self.open:
             found += self._in_hand("refused until now, and the next call says nothing", Line(0.2, lost=1), TOLD_S)
@@ -156,9 +158,15 @@
         world: World = pickle.loads(pickle.dumps(self))
         began = {c for c in world.open if also and world.began[c] == world.now}
         start, lost, answers = world.now, line.lost, {c: world.now + line.wait_s for c in began}
+        refused = sorted((max(world.now, world.began[c] + ALONE_S), c) for c in world.calls.waiting if line.refuses)
         for _ in range(200):
             due = sweep(world.calls.due_s)
             first = min(answers.values(), default=math.inf)
+            if refused and refused[0][0] <= min(first, due):
+                world.now, call = refused.pop(0)
+                if call in world.open:
+                    world._end(call)
+                continue
             if first <= max(due, world.now):
                 took = first - start
                 return [] if took <= within_s + TICK_S / 2 else [f"{what}: the list is in hand after {took:.2f} s"]
--- a/gateusher/client.py
+++ b/gateusher/client.py
@@ -146,6 +146,9 @@
         if not self.future.done():
             self.future.set_result(final)
 
+    def has_left(self, call: Call) -> bool:
+        return self.future.cancelled()  # at once, though the caller's own turn comes later
+
     def settled(self, call: Call) -> None:
         if self.left:
             self.gateway._settled(self, call)
--- a/gateusher/core/engine.py
+++ b/gateusher/core/engine.py
@@ -30,6 +30,9 @@
 OVERDUE_MS = 10.0  # how long after its deadline a request that the module still holds is failed
 UPLOAD_MS = 3.6e6  # what the module is told that a body may still take; its listener bounds it by its rate
 PROBE_MS = 500.0   # how long a probe may take once its connection is up
+SEEN_MS = 50.0     # a client that was there so recently is not looked for again before something is sent for it
+PAUSE_MS = 20.0    # between two requests: so long ago the process may have stood still, and what is read then waited
+BACKLOG_MS = 100.0 # after that, what is read may have waited as well
 MOST_BODY = 65536  # bytes of a request's body, whichever face it comes through
 
 
@@ -66,7 +69,8 @@
     """One request of a client: from its last byte until it is answered and its attempts are over."""
 
     __slots__ = ("attempts", "client", "cls", "deadline", "key", "keyed", "last", "most", "name", "ran", "repeat",
-                 "patience_ms", "rid", "served", "state", "tenant", "timer", "tries", "work_ms", "write_by")
+                 "patience_ms", "prompt", "rid", "seen_ms", "served", "state", "tenant", "timer", "tries", "work_ms",
+                 "write_by")
 
     def __init__(self, client: Asking, method: bytes, target: bytes, headers: Headers, body: bytes | bytearray,
                  cls: int = 0, name: bytes = b"") -> None:
@@ -76,6 +80,8 @@
         self.work_ms = 0.0
         self.keyed = self.repeat = False
         self.rid, self.deadline, self.patience_ms = 0, 0.0, 0.0
+        self.prompt = True            # it did not wait to be read, unless the process stood still
+        self.seen_ms = -inf           # when its client was known to be there last
         self.tries = self.most = 0    # attempts made, and allowed
         self.state: str = MAKING      # see core/states.py; the engine alone moves it
         self.ran = False              # an attempt has ended that may have run
@@ -109,6 +115,9 @@
         super().__init__(call, eid, now, expires_ms, call.write_by, coming_ms)
         self.engine, self.call, self.number = engine, call, number
 
+    def wanted(self) -> bool:
+        return self.engine.wanted(self.call)
+
     def ended(self, outcome: Outcome, report: tuple[float, ...], elapsed_ms: float, reply: Reply) -> None:
         self.engine.ended(self, outcome, report, elapsed_ms, reply)
 
@@ -139,6 +148,8 @@
         self._events: deque[Event] = deque()
         self._busy = False
         self._next_id = 1
+        self._took_ms = -inf          # when a request was taken last
+        self._backlog_ms = -inf       # until then what is taken may have waited in the kernel
         self._latest = float("inf")   # no deadline is later than this: the process ends then
         self._timers: set[Timer] = set()  # the module's
         self.calls: dict[int, Call] = {}
@@ -218,6 +229,11 @@
         call.move(TAKE)
         call.rid, self._next_id = self._next_id, self._next_id + 1
         now = self._clock.now()
+        if now - self._took_ms > PAUSE_MS:
+            self._backlog_ms = now + BACKLOG_MS
+        self._took_ms = now
+        if call.prompt and now > self._backlog_ms:
+            call.seen_ms = now
         call.patience_ms = patience_ms
         upload = call.upload
         call.deadline = min(now + patience_ms if upload is None else inf, self._latest)
@@ -251,6 +267,20 @@
             self._finish(call, LEAVE)
             self._abandon(call)
 
+    def wanted(self, call: Call) -> bool:
+        """Whether its client is still there, for just before the last point at which nothing has been sent.
+
+        A client that closes has gone, and an attempt that begins 0.1 s later is one too many (STANDING).  Its end is
+        read in its turn, unless this process stood still; and then what it left behind is read first.  So whoever was
+        not seen within SEEN_MS is looked for: one system call, which the ordinary path does without.
+        """
+        now = self._clock.now()
+        if now - call.seen_ms > SEEN_MS:
+            if call.client.has_left(call):
+                return False
+            call.seen_ms = now
+        return True
+
     def _abandon(self, call: Call) -> None:
         """Nobody waits for this request any more, and the module doesn't know yet.
 
@@ -374,6 +404,8 @@
             upload = call.upload
             if upload and upload.gone:
                 left = 0.0  # what went through can't be sent again
+            if now - call.seen_ms > SEEN_MS and call.state == OPEN and not self.wanted(call):
+                self.depart(call)
             if call.state == OPEN and number < min(call.most, self._settings.max_attempts) and left >= LEAST_MS:
                 sent = call.attempts[number] = Sent(self, call, number, eid, now, expires,
                                                    min(coming, call.deadline))
--- a/gateusher/discovery/calls.py
+++ b/gateusher/discovery/calls.py
@@ -4,7 +4,8 @@
 (STANDING); 4 s after SIGHUP (DAYS).  The settings' grace counts from then and is none of ours.  So the list must be
 in hand by `SLACK_S` before that; the slack is for ticks, turns of the loop and the way.
 
-- After a call that failed with nothing else out, the next one begins after `WAIT_S` at the latest.
+- After a call that failed with nothing else out, the next one begins after `WAIT_S` at the latest, and after half of
+  what is left since the failed one began: discovery may have come back just then.
 - A call that says nothing gets another beside it, and keeps its place in the service's line meanwhile: who gives up
   and calls again goes to the end of the line, and makes it longer for all.  The second begins after `STEP_S`; after
   half of what is left where a watch has fallen silent or SIGHUP has come, since less time is left there.
@@ -13,6 +14,7 @@
 
     refused until discovery could be reached        5.8 - WAIT_S                    3.5 s
     the same, and the next call says nothing        5.8 - WAIT_S - STEP_S           0.3 s
+    refused Q after discovery could be reached      (5.8 - Q) / 2                   1.4 s for Q of 3 s
     calls that said nothing until then              5.8 - STEP_S                    2.6 s
     a watch that has fallen silent                  5.8 - ASKED.silent_s            3.2 s
     the same, and the next call says nothing        (5.8 - ASKED.silent_s) / 2      1.6 s
@@ -277,10 +279,11 @@
         self._leave_alone(now_s, urgent=False)
 
     def _ended(self, now_s: float, call: int, acts: list[Action]) -> None:
+        took_s = 0.0
         if self.watch and self.watch.call == call:
             self.watch = None
         elif call in self.waiting:
-            del self.waiting[call]
+            took_s = now_s - self.waiting.pop(call)
         else:
             return
         if self.watch is None and not self._eager:
@@ -289,9 +292,9 @@
             self.due_s = max(now_s + LEAST_S, max(self.waiting.values()) + STEP_S)  # it may refuse that one as well
         if self._out:
             return  # what is out has its own time
-        wait = self._wait()
+        wait_s = min(self._wait(), max(EAGER_S, (TOLD_S - SLACK_S - took_s) / 2))
         if self._eager:
-            wait = min(wait, EAGER_S * 2 ** min(self._failed, 10))
+            wait_s = min(wait_s, EAGER_S * 2 ** min(self._failed, 10))
         self._failed += 1
-        self.due_s = now_s + wait
+        self.due_s = now_s + wait_s
         acts.append(Failed())
--- a/gateusher/listeners/http.py
+++ b/gateusher/listeners/http.py
@@ -43,7 +43,6 @@
 BACKLOG = 1024
 ACCEPT_PAUSE_S = 0.05
 STOP_LISTENING_S = 0.55      # after SIGTERM: new connections come for 0.4 s
-LATE_S = 0.2                 # from one sweep to the next, or to a read: twice the usual
 GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 FORMER_S = 1.3              # after new settings: clients go by them 1.2 s later
 CLOSE_NEW_S = 0.65           # connections on which nothing has come by then stay unused
@@ -250,7 +249,7 @@
     def data_received(self, data: bytes) -> None:
         if self._deaf:
             return
-        if self._uploading and (not self._kept or self._server.late) and self.gone and self._transport:
+        if self._uploading and self.gone and self._transport:
             self._transport.abort()  # its last byte may be among these, and would go on as it is read
             return
         begun = self._in_head
@@ -336,6 +335,7 @@
         server, known = self._server, self._known
         patience = _plain(known.get(b"x-deadline"), 1000.0, MOST_PATIENCE_MS)
         call = self._asked(b"")
+        call.prompt = self._kept
         total = int(known[b"content-length"]) if b"content-length" in known else -1
         call.upload = Upload(self, body, total, patience or 0.0, server.memory)
         self._uploading = call
@@ -361,7 +361,6 @@
             self._heard, self._held_at = now, 0.0
             if self._transport and not self._transport.is_closing():
                 self._transport.resume_reading()
-            self._kept = False  # what comes now may be as old as the pause
 
     def _asked(self, body: bytes | bytearray) -> _Asked:
         """The request whose head has come."""
@@ -371,21 +370,15 @@
 
     def on_message_complete(self) -> None:
         self._in_message = False
-        # What has waited to be accepted, or to be read, may be of a client that has left since: its end is behind
-        # this in the same queue of bytes, and is read a turn later, when the request would be out.
-        gone = (not self._kept or self._server.late) and self.gone
-        self._kept = True
-        if gone:
-            self._drop_body()
-            if self._uploading:
-                self._server.engine.depart(self._uploading)
-            return
         if self._uploading:
-            call, self._uploading = self._uploading, None
+            call, self._uploading, self._kept = self._uploading, None, True
             self._server.engine.uploaded(call)
             return
         body, self._body = self._body, bytearray()
         call = self._asked(body)
+        # What has waited to be accepted may be of a client that has left since: its end is behind this in the same
+        # queue of bytes, and is read a turn later, when the request would be out.
+        call.prompt, self._kept = self._kept, True
         self._queue.append(call)
         status = self._submit(call)
         if status:
@@ -516,6 +509,9 @@
             transport.write(b"0\r\n\r\n")
         self._flush()
 
+    def has_left(self, call: Call) -> bool:
+        return self._transport is None or self.gone
+
     def settled(self, call: Call) -> None:
         """Nothing is kept here for a request past its answer."""
 
@@ -586,8 +582,6 @@
         self.phases = Phases()
         self._end_s = END_S
         self._accepting = False
-        self._swept_at = self.loop.time()
-        self._late = False  # the last sweep was
         self._socket: socket.socket | None = door
         if door is None:
             self._socket = socket.create_server(
@@ -690,7 +684,6 @@
         they stay; a client that comes back to one after a pause must open it anew.
         """
         now = self.loop.time()
-        self._late, self._swept_at = now - self._swept_at > LATE_S, now
         if self.former and now > self._former_until:
             self.former = {}
         for client in list(self._clients):
@@ -704,11 +697,6 @@
                 if client.idle and not self.phases.spares_idle(now, client.at, client.used):
                     client.close()
 
-    @property
-    def late(self) -> bool:
-        """This process stood still just now: what it reads may have waited as long."""
-        return self._late or self.loop.time() - self._swept_at > LATE_S
-
     def rename(self, names: Names, former: dict[bytes, int]) -> None:
         """Classes go by these names from now on, and for a moment by their `former` meaning too."""
         self.names, self.former = names, former
--- a/gateusher/load/inside.py
+++ b/gateusher/load/inside.py
@@ -51,6 +51,9 @@
     def conclude(self, call: Call, final: Final) -> None:
         self.inside.concluded(self.go, ENDINGS[final.ending], time.monotonic() - self.sent_at)
 
+    def has_left(self, call: Call) -> bool:
+        return False
+
     def settled(self, call: Call) -> None:
         """Nothing is kept for it."""
 
--- a/gateusher/upstream/http.py
+++ b/gateusher/upstream/http.py
@@ -140,12 +140,13 @@
         """Whether what was decided when the dial began no longer holds now that it is up.
 
         A window or a deadline ran out in this very turn of the loop, before its timer was called; the endpoint
-        was told to drain, or has moved; or it was started anew, and this would be a request to a cold process
-        that its budget knows nothing of.  It could harm where a list flaps faster than connections come up.
+        was told to drain, or has moved; it was started anew, and this would be a request to a cold process that its
+        budget knows nothing of; or the client has left, and its end is still to be read.  It could harm where a list
+        flaps faster than connections come up.
         """
         host = self.host
         return (attempt.write_by_ms - self._up.clock.now() < LEAST_MS or not (host.ready or attempt.to_any)
-                or host.born_ms != self.born_ms or (host.ip, host.port) != self.where)
+                or host.born_ms != self.born_ms or (host.ip, host.port) != self.where or not attempt.wanted())
 
     # -- a body that is still coming
 
--- a/gateusher/upstream/interface.py
+++ b/gateusher/upstream/interface.py
@@ -123,6 +123,10 @@
         """The last byte is in the kernel's hands: from here on it may have run."""
         return self.state == SENT
 
+    def wanted(self) -> bool:
+        """Whether anybody still waits for it, looked at now: asked just before something is written."""
+        return True
+
     @abstractmethod
     def ended(self, outcome: Outcome, report: tuple[float, ...], elapsed_ms: float, reply: Reply) -> None:
         """The one outcome; `reply` is whole where it is OK, and `NO_REPLY` otherwise."""
--- a/tests/library/test_cancel.py
+++ b/tests/library/test_cancel.py
@@ -12,6 +12,7 @@
 from gateusher import Conflict, DeadlineExceeded, Failed, Gateway, InvalidRequest, Unusable
 from gateusher.client import deadline
 from gateusher.config.file import parse
+from gateusher.policy.interface import Outcome
 from gateusher.standins.nodes import NotRun, Reply, Reset, Silent, Stall
 
 from ..helpers import until
@@ -41,6 +42,27 @@
     run(test())
 
 
+@pytest.mark.parametrize("cls", ["look", "issue"])
+def test_no_further_attempt_begins_between_a_cancel_and_the_callers_own_turn(cls: str) -> None:
+    async def test() -> None:
+        async with rig(2) as r:
+            r.fleet.tell("r", Stall())
+            task = r.ask(cls)
+            await r.fleet.arrival("r")
+            (call,) = r.node.engine.calls.values()
+            (attempt,) = call.attempts.values()
+            call.seen_ms -= 100.0      # it has been waiting for a while
+            task.cancel()
+            r.node.upstream.give_up(attempt, Outcome.FULL)
+            assert not call.attempts
+            assert not r.node.engine.calls
+            with pytest.raises(asyncio.CancelledError):
+                await task
+            assert [tuple(s) for s in r.settled] == [("r", cls, "not sent", False)]
+            assert r.fleet.attempts["r"] == 1
+    run(test())
+
+
 def test_a_second_cancel_changes_nothing() -> None:
     async def test() -> None:
         async with rig() as r:
@@ -85,6 +107,9 @@
                     conclude(call, final)
                     met.append(task.cancel())
 
+                def has_left(self, call: object) -> bool:
+                    return False
+
                 def settled(self, call: object) -> None: ...
 
             call.client = Both()
@@ -122,6 +147,9 @@
                     conclude(call, final)
                     scopes[0].reschedule(asyncio.get_running_loop().time())  # fires in this very turn's timers
 
+                def has_left(self, call: object) -> bool:
+                    return False
+
                 def settled(self, call: object) -> None: ...
 
             call.client = Both()
