--- a/bench/calls.py
+++ b/bench/calls.py
@@ -261,7 +261,7 @@
 
 
 def _beside(step_s: float, rng: Random) -> Caller:
-    return Calls(ASKED._replace(step_s=step_s), rng.random)
+    return Calls(ASKED._replace(hedge_s=step_s), rng.random)
 
 
 def gives_up(first_s: float, moved_s: float) -> Callable[[Random], Caller]:
--- a/checker/calls.py
+++ b/checker/calls.py
@@ -59,7 +59,7 @@
     def options(self) -> list[str]:
         found = ["time passes to what is due", "half of that time passes", "the module asks",
                  "SIGHUP names another address", "SIGHUP names the same"]
-        for place, _ in zip(PLACES, self.calls.waiting, strict=False):
+        for place, _ in zip(PLACES, self.calls.pending, strict=False):
             found += [f"{place} speaks", f"{place} brings the whole list", f"{place} ends"]
         if self.calls.watch:
             found += ["the watch speaks", "the watch ends"]
@@ -86,7 +86,7 @@
                 self._end(self.calls.watch.call)
             case _:
                 at = next(i for i, place in enumerate(PLACES) if word.startswith(place))
-                call, what = list(self.calls.waiting)[at], word[len(PLACES[at]) + 1:]
+                call, what = list(self.calls.pending)[at], word[len(PLACES[at]) + 1:]
                 if what == "speaks":
                     self._give(Spoke(call))
                 elif what == "ends":
@@ -111,29 +111,29 @@
         calls, self.event = self.calls, event
         if isinstance(event, Reloaded):
             self.sighup_at = self.now
-        before, urgent = dict(calls.waiting), calls.watch is not None or self.now - self.sighup_at < MOVED_S
+        before, urgent = dict(calls.pending), calls.watch is not None or self.now - self.sighup_at < MOVED_S
         acts = calls.handle(self.now, event)
         for act in acts:
             if isinstance(act, Open):
                 self.open.append(act.call)
                 self.began[act.call] = self.now
                 if type(event) is Tick and not urgent and before \
-                        and self.now - max(before.values()) < min(ALONE_S, ASKED.step_s) - 1e-6 and len(before) < 2:
+                        and self.now - max(before.values()) < min(ALONE_S, ASKED.hedge_s) - 1e-6 and len(before) < 2:
                     self.broken.append("another call beside one that the service may still refuse")
             elif isinstance(act, Close):
                 self.open.remove(act.call)
-        if len(calls.waiting) > 2 or len(self.open) > 3:
+        if len(calls.pending) > 2 or len(self.open) > 3:
             self.broken.append(f"{len(self.open)} calls are open")
-        known = set(calls.waiting) | ({calls.watch.call} if calls.watch else set())
+        known = set(calls.pending) | ({calls.watch.call} if calls.watch else set())
         if known != set(self.open):
             self.broken.append("the machine has lost count of what is open")
         return acts
 
     def form(self) -> object:
         calls, now = self.calls, self.now
-        return ([round(now - began, 3) for began in calls.waiting.values()],
+        return ([round(now - began, 3) for began in calls.pending.values()],
                 calls.watch and round(now - calls.watch.heard_s, 3), round(calls.due_s - now, 3),
-                round(calls._by_s - now, 3), min(calls._failed, 5), calls._eager, self.broken,
+                round(calls._by_s - now, 3), min(calls._failed, 5), calls._urgent, self.broken,
                 type(self.event).__name__, round(min(now - self.sighup_at, 9.0), 3))
 
     # -- discovery can be reached
@@ -145,7 +145,7 @@
         found += self._in_hand("a line in which nobody is refused", Line(4.4), 2 * TOLD_S)
         if not self.open:
             found += self._in_hand("refused until now, and the next call says nothing", Line(0.2, lost=1), TOLD_S)
-        if isinstance(self.event, Spoke) and not self.calls.waiting:
+        if isinstance(self.event, Spoke) and not self.calls.pending:
             found += self._in_hand("the watch has fallen silent", Line(3.1), TOLD_S)
             found += self._in_hand("the watch has fallen silent, and so does the next call", Line(1.5, 1), TOLD_S)
         if isinstance(self.event, Reloaded) and self.event.moved:
@@ -158,7 +158,7 @@
         world: World = pickle.loads(pickle.dumps(self))
         began = {c for c in world.open if also and world.began[c] == world.now}
         start, lost, answers = world.now, line.lost, {c: world.now + line.wait_s for c in began}
-        refused = sorted((max(world.now, world.began[c] + ALONE_S), c) for c in world.calls.waiting if line.refuses)
+        refused = sorted((max(world.now, world.began[c] + ALONE_S), c) for c in world.calls.pending if line.refuses)
         for _ in range(200):
             due = sweep(world.calls.due_s)
             first = min(answers.values(), default=math.inf)
--- a/gateusher/client.py
+++ b/gateusher/client.py
@@ -146,7 +146,7 @@
         if not self.future.done():
             self.future.set_result(final)
 
-    def has_left(self, call: Call) -> bool:
+    def disconnected(self, call: Call) -> bool:
         return self.future.cancelled()  # at once, though the caller's own turn comes later
 
     def settled(self, call: Call) -> None:
--- a/gateusher/core/engine.py
+++ b/gateusher/core/engine.py
@@ -30,9 +30,9 @@
 OVERDUE_MS = 10.0  # how long after its deadline a request that the module still holds is failed
 UPLOAD_MS = 3.6e6  # what the module is told that a body may still take; its listener bounds it by its rate
 PROBE_MS = 500.0   # how long a probe may take once its connection is up
-SEEN_MS = 50.0     # a client that was there so recently is not looked for again before something is sent for it
-PAUSE_MS = 20.0    # between two requests: so long ago the process may have stood still, and what is read then waited
-BACKLOG_MS = 100.0 # after that, what is read may have waited as well
+CLIENT_SEEN_MS = 50.0  # a client that was there so recently is not looked for again before something is sent for it
+STALL_MS = 20.0        # between two requests: the process may have stood still, and what is read then has waited
+BACKLOG_MS = 100.0     # and so may have what is read for so long after that
 MOST_BODY = 65536  # bytes of a request's body, whichever face it comes through
 
 
@@ -68,9 +68,9 @@
 class Call(Message):
     """One request of a client: from its last byte until it is answered and its attempts are over."""
 
-    __slots__ = ("attempts", "client", "cls", "deadline", "key", "keyed", "last", "most", "name", "ran", "repeat",
-                 "patience_ms", "prompt", "rid", "seen_ms", "served", "state", "tenant", "timer", "tries", "work_ms",
-                 "write_by")
+    __slots__ = ("attempts", "client", "client_seen_ms", "cls", "deadline", "key", "keyed", "last", "most", "name",
+                 "patience_ms", "ran", "read_at_once", "repeat", "rid", "served", "state", "tenant", "timer", "tries",
+                 "work_ms", "write_by")
 
     def __init__(self, client: Asking, method: bytes, target: bytes, headers: Headers, body: bytes | bytearray,
                  cls: int = 0, name: bytes = b"") -> None:
@@ -80,8 +80,8 @@
         self.work_ms = 0.0
         self.keyed = self.repeat = False
         self.rid, self.deadline, self.patience_ms = 0, 0.0, 0.0
-        self.prompt = True            # it did not wait to be read, unless the process stood still
-        self.seen_ms = -inf           # when its client was known to be there last
+        self.read_at_once = True      # it did not wait to be read, unless the process stood still
+        self.client_seen_ms = -inf    # when its client was known to be there last
         self.tries = self.most = 0    # attempts made, and allowed
         self.state: str = MAKING      # see core/states.py; the engine alone moves it
         self.ran = False              # an attempt has ended that may have run
@@ -229,11 +229,11 @@
         call.move(TAKE)
         call.rid, self._next_id = self._next_id, self._next_id + 1
         now = self._clock.now()
-        if now - self._took_ms > PAUSE_MS:
+        if now - self._took_ms > STALL_MS:
             self._backlog_ms = now + BACKLOG_MS
         self._took_ms = now
-        if call.prompt and now > self._backlog_ms:
-            call.seen_ms = now
+        if call.read_at_once and now > self._backlog_ms:
+            call.client_seen_ms = now
         call.patience_ms = patience_ms
         upload = call.upload
         call.deadline = min(now + patience_ms if upload is None else inf, self._latest)
@@ -272,13 +272,13 @@
 
         A client that closes has gone, and an attempt that begins 0.1 s later is one too many (STANDING).  Its end is
         read in its turn, unless this process stood still; and then what it left behind is read first.  So whoever was
-        not seen within SEEN_MS is looked for: one system call, which the ordinary path does without.
+        not seen within CLIENT_SEEN_MS is looked for: one system call, which the ordinary path does without.
         """
         now = self._clock.now()
-        if now - call.seen_ms > SEEN_MS:
-            if call.client.has_left(call):
+        if now - call.client_seen_ms > CLIENT_SEEN_MS:
+            if call.client.disconnected(call):
                 return False
-            call.seen_ms = now
+            call.client_seen_ms = now
         return True
 
     def _abandon(self, call: Call) -> None:
@@ -404,7 +404,7 @@
             upload = call.upload
             if upload and upload.gone:
                 left = 0.0  # what went through can't be sent again
-            if now - call.seen_ms > SEEN_MS and call.state == OPEN and not self.wanted(call):
+            if now - call.client_seen_ms > CLIENT_SEEN_MS and call.state == OPEN and not self.wanted(call):
                 self.depart(call)
             if call.state == OPEN and number < min(call.most, self._settings.max_attempts) and left >= LEAST_MS:
                 sent = call.attempts[number] = Sent(self, call, number, eid, now, expires,
--- a/gateusher/core/ports.py
+++ b/gateusher/core/ports.py
@@ -33,7 +33,7 @@
     def conclude(self, call: Call, final: Final) -> None:
         """The final answer; called once, unless the client left first.  The core is done with it after that."""
 
-    def has_left(self, call: Call) -> bool:
+    def disconnected(self, call: Call) -> bool:
         """Whether the client has closed or cancelled, looked at now, though nobody may have been told yet."""
 
     def settled(self, call: Call) -> None:
--- a/gateusher/discovery/catalog.py
+++ b/gateusher/discovery/catalog.py
@@ -17,7 +17,7 @@
 from ..config.model import Names
 from ..base.log import say
 from .calls import (ASKED, Asked, Calls, Close, Ended, Event, Failed, Follow, Later, Open, Reloaded, Spoke, Stop,
-                    Tick, pushed as pushed_pace)
+                    Tick, pushed as pushed_policy)
 from .lists import HostLine, LineError, read_list
 
 LIST_S = 1.0         # a list is whole so long after its first byte, at most
@@ -51,7 +51,7 @@
         self.list_s = min(LIST_S, max(0.1, grace_ms / 1000 / GRACE_PART))  # a list that breaks off may not use it up
         self._news, self._update, self._knows = news, update, knows
         self._loop = asyncio.get_running_loop()
-        self.calls = Calls(pushed_pace(grace_ms / 1000) if pushed else ASKED, Random(seed).random)
+        self.calls = Calls(pushed_policy(grace_ms / 1000) if pushed else ASKED, Random(seed).random)
         self._open: dict[int, _Call] = {}
         self._put_off = False    # the last sweep found something unread
         self._said = ""          # what became of a call last
--- a/gateusher/listeners/http.py
+++ b/gateusher/listeners/http.py
@@ -335,7 +335,7 @@
         server, known = self._server, self._known
         patience = _plain(known.get(b"x-deadline"), 1000.0, MOST_PATIENCE_MS)
         call = self._asked(b"")
-        call.prompt = self._kept
+        call.read_at_once = self._kept
         total = int(known[b"content-length"]) if b"content-length" in known else -1
         call.upload = Upload(self, body, total, patience or 0.0, server.memory)
         self._uploading = call
@@ -378,7 +378,7 @@
         call = self._asked(body)
         # What has waited to be accepted may be of a client that has left since: its end is behind this in the same
         # queue of bytes, and is read a turn later, when the request would be out.
-        call.prompt, self._kept = self._kept, True
+        call.read_at_once, self._kept = self._kept, True
         self._queue.append(call)
         status = self._submit(call)
         if status:
@@ -509,7 +509,7 @@
             transport.write(b"0\r\n\r\n")
         self._flush()
 
-    def has_left(self, call: Call) -> bool:
+    def disconnected(self, call: Call) -> bool:
         return self._transport is None or self.gone
 
     def settled(self, call: Call) -> None:
--- a/gateusher/load/inside.py
+++ b/gateusher/load/inside.py
@@ -51,7 +51,7 @@
     def conclude(self, call: Call, final: Final) -> None:
         self.inside.concluded(self.go, ENDINGS[final.ending], time.monotonic() - self.sent_at)
 
-    def has_left(self, call: Call) -> bool:
+    def disconnected(self, call: Call) -> bool:
         return False
 
     def settled(self, call: Call) -> None:
--- a/tests/discovery/test_calls.py
+++ b/tests/discovery/test_calls.py
@@ -10,8 +10,8 @@
 from checker import calls as explorer
 from checker import pure
 from gateusher.discovery import calls as module
-from gateusher.discovery.calls import (ASKED, LONGEST_S, STEP_S, WAIT_S, Action, Asked, Calls, Close, Ended, Failed,
-                                       Follow, Later, Open, Reloaded, Spoke, Stop, Tick, pushed)
+from gateusher.discovery.calls import (ASKED, HEDGE_S, HEDGED_S, MAX_BACKOFF_S, Action, Asked, Calls, Close, Ended,
+                                       Failed, Follow, Later, Open, Reloaded, Spoke, Stop, Tick, pushed)
 
 from ..helpers import HANG_S
 
@@ -32,7 +32,7 @@
 def test_the_first_of_two_that_speaks_is_kept_and_the_other_closed() -> None:
     calls = asked()
     assert calls.handle(0.0, Follow()) == [Open(1)]
-    assert calls.handle(STEP_S - 0.01, Tick()) == []
+    assert calls.handle(HEDGE_S - 0.01, Tick()) == []
     assert until_due(calls) == [Open(2)]
     assert calls.handle(5.0, Spoke(1)) == [Close(2)]
     assert calls.handle(5.1, Ended(2)) == [] and calls.handle(5.1, Spoke(2)) == []
@@ -45,7 +45,7 @@
     assert until_due(calls) == [Open(2)]
     assert until_due(calls) == [Close(1), Open(3)]
     assert until_due(calls) == [Close(2), Open(4)]
-    assert calls.due_s - min(calls.waiting.values()) >= 2 * LONGEST_S - 1e-6
+    assert calls.due_s - min(calls.pending.values()) >= 2 * HEDGED_S - 1e-6
 
 
 def test_a_watch_that_has_fallen_silent_is_kept_beside_the_next_call_and_may_speak_again() -> None:
@@ -53,10 +53,10 @@
     calls.handle(0.0, Follow())
     calls.handle(0.0, Spoke(1))
     calls.handle(2.0, Spoke(1))
-    assert calls.due_s == 2.0 + ASKED.silent_s
+    assert calls.due_s == 2.0 + ASKED.heartbeat_timeout_s
     assert until_due(calls) == [Open(2)]
     assert calls.handle(4.7, Spoke(1)) == [Close(2)]
-    assert calls.due_s == pytest.approx(4.7 + ASKED.silent_s)
+    assert calls.due_s == pytest.approx(4.7 + ASKED.heartbeat_timeout_s)
 
 
 def test_one_that_stays_silent_is_closed_in_the_end() -> None:
@@ -65,7 +65,7 @@
     calls.handle(0.0, Spoke(1))
     acts = [act for _ in range(4) for act in until_due(calls)]
     assert Close(1) in acts
-    assert calls.watch is None and len(calls.waiting) == 2
+    assert calls.watch is None and len(calls.pending) == 2
 
 
 def test_the_module_is_told_only_where_nothing_is_out_and_may_ask_sooner() -> None:
@@ -74,7 +74,7 @@
     until_due(calls)
     assert calls.handle(3.3, Ended(1)) == []
     assert calls.handle(3.4, Ended(2)) == [Failed()]
-    assert calls.due_s == pytest.approx(3.4 + WAIT_S)
+    assert calls.due_s == pytest.approx(3.4 + MAX_BACKOFF_S)
     assert calls.handle(3.5, Follow()) == [Open(3)]
     assert calls.handle(3.6, Ended(3)) == [Failed()]
     assert until_due(calls) == [Open(4)]
@@ -88,13 +88,13 @@
         calls.handle(0.0, Follow())
         calls.handle(0.0, Ended(call))
         found.append(calls.due_s)
-    assert found == pytest.approx([WAIT_S, WAIT_S * 0.875, WAIT_S * 0.75])
+    assert found == pytest.approx([MAX_BACKOFF_S, MAX_BACKOFF_S * 0.875, MAX_BACKOFF_S * 0.75])
 
 
 def test_a_start_waits_for_the_module_but_not_for_good() -> None:
     calls = asked()
     assert calls.handle(0.0, Later()) == []
-    assert calls.due_s == LONGEST_S
+    assert calls.due_s == HEDGED_S
     assert calls.handle(0.5, Follow()) == [Open(1)]
     calls = asked()
     calls.handle(0.0, Later())
@@ -112,14 +112,14 @@
         assert calls.handle(at, Ended(call)) == [Failed()]
         waits.append(calls.due_s - at)
         assert until_due(calls) == [Open(call + 1)]
-    assert waits == pytest.approx([0.2, 0.4, 0.8, 1.6, WAIT_S])
+    assert waits == pytest.approx([0.2, 0.4, 0.8, 1.6, MAX_BACKOFF_S])
 
 
 def test_the_same_address_again_keeps_what_is_followed_and_places_in_line() -> None:
     calls = asked()
     calls.handle(0.0, Follow())
     assert calls.handle(0.5, Reloaded(False)) == []
-    assert list(calls.waiting) == [1] and calls.due_s == pytest.approx(0.5 + 1.9)
+    assert list(calls.pending) == [1] and calls.due_s == pytest.approx(0.5 + 1.9)
     calls.handle(1.0, Spoke(1))
     due = calls.due_s
     assert calls.handle(1.5, Reloaded(False)) == [] and calls.due_s == due
@@ -132,7 +132,7 @@
     calls.handle(0.0, Follow())
     until_due(calls)
     assert calls.handle(4.0, Asked(2)) == [Close(1)]
-    assert calls.waiting == {2: 4.0} and calls.due_s == pytest.approx(4.0 + STEP_S)
+    assert calls.pending == {2: 4.0} and calls.due_s == pytest.approx(4.0 + HEDGE_S)
     assert calls.handle(4.5, Spoke(2)) == []
     assert calls.watch is not None
 
@@ -151,7 +151,7 @@
     assert until_due(calls) == [Close(1), Open(2)]
     calls.handle(0.15, Ended(2))
     assert calls.due_s == pytest.approx(0.2)
-    assert pushed(4.0).step_s == 0.5
+    assert pushed(4.0).hedge_s == 0.5
 
 
 @pytest.mark.parametrize("start", explorer.STARTS)
@@ -169,19 +169,19 @@
 
 
 FAULTS: dict[str, tuple[str, str]] = {
-    "a wait after a failed call is too long": ("calls.ASKED = module.ASKED._replace(wait_s=3.9)",
+    "a wait after a failed call is too long": ("calls.ASKED = module.ASKED._replace(max_backoff_s=3.9)",
                                                "refused until now"),
-    "a call is left alone for too long": ("module.STEP_S = 4.5; calls.ASKED = module.ASKED._replace(step_s=9)",
+    "a call is left alone for too long": ("module.HEDGE_S = 4.5; calls.ASKED = module.ASKED._replace(hedge_s=9)",
                                           "whatever"),
-    "the next after that comes too late": ("module.LONGEST_S = 4.5; calls.ASKED = module.ASKED._replace(step_s=9)",
+    "the next after that comes too late": ("module.HEDGED_S = 4.5; calls.ASKED = module.ASKED._replace(hedge_s=9)",
                                            "whatever"),
-    "a call is not left alone": ("module.STEP_S = 1.5", "may still refuse"),
-    "silence is found too late": ("calls.ASKED = module.ASKED._replace(silent_s=4.5)", "fallen silent"),
-    "no hurry where little is left": ("module.LEAST_S = 3.0", "its first call says nothing"),
+    "a call is not left alone": ("module.HEDGE_S = 1.5", "may still refuse"),
+    "silence is found too late": ("calls.ASKED = module.ASKED._replace(heartbeat_timeout_s=4.5)", "fallen silent"),
+    "no hurry where little is left": ("module.MIN_HEDGE_S = 3.0", "its first call says nothing"),
     "no hurry after SIGHUP": ("module.MOVED_S = 6.0", "SIGHUP, and its first"),
-    "the first gives way to the second": ("calls.ASKED = module.ASKED._replace(most=1)", "may still refuse"),
-    "a refusal's time in the line is forgotten": ("module.EAGER_S = 2.3", "what was out is refused"),
-    "the start waits too long": ("module.LONGEST_S = 9.0", "whatever"),
+    "the first gives way to the second": ("calls.ASKED = module.ASKED._replace(max_pending=1)", "may still refuse"),
+    "a refusal's time in the line is forgotten": ("module.FIRST_BACKOFF_S = 2.3", "what was out is refused"),
+    "the start waits too long": ("module.HEDGED_S = 9.0", "whatever"),
 }
 
 
@@ -203,13 +203,13 @@
 
 
 def _forgets(self: Calls, now_s: float, call: int, acts: list[Action]) -> None:
-    self.waiting.pop(call, None)
+    self.pending.pop(call, None)
     if self.watch and self.watch.call == call:
         self.watch = None
 
 
 @pytest.mark.parametrize(("name", "fault", "said"), [
-    ("_leave_alone", _never_beside, "whatever"), ("_ended", _forgets, "may still refuse")])
+    ("_schedule_hedge", _never_beside, "whatever"), ("_ended", _forgets, "may still refuse")])
 def test_a_fault_in_a_move_is_found(name: str, fault: Callable[..., None], said: str,
                                     monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(module.Calls, name, fault)
--- a/tests/library/test_cancel.py
+++ b/tests/library/test_cancel.py
@@ -51,7 +51,7 @@
             await r.fleet.arrival("r")
             (call,) = r.node.engine.calls.values()
             (attempt,) = call.attempts.values()
-            call.seen_ms -= 100.0      # it has been waiting for a while
+            call.client_seen_ms -= 100.0      # it has been waiting for a while
             task.cancel()
             r.node.upstream.give_up(attempt, Outcome.FULL)
             assert not call.attempts
@@ -107,7 +107,7 @@
                     conclude(call, final)
                     met.append(task.cancel())
 
-                def has_left(self, call: object) -> bool:
+                def disconnected(self, call: object) -> bool:
                     return False
 
                 def settled(self, call: object) -> None: ...
@@ -147,7 +147,7 @@
                     conclude(call, final)
                     scopes[0].reschedule(asyncio.get_running_loop().time())  # fires in this very turn's timers
 
-                def has_left(self, call: object) -> bool:
+                def disconnected(self, call: object) -> bool:
                     return False
 
                 def settled(self, call: object) -> None: ...
--- a/tests/standing/test_leaving.py
+++ b/tests/standing/test_leaving.py
@@ -98,7 +98,7 @@
     client._transport.pause_reading()
     leave(sock, how)
     for call in r.sidecar.engine.calls.values():
-        call.seen_ms -= 100.0                          # so long ago was it there
+        call.client_seen_ms -= 100.0                          # so long ago was it there
 
 
 def read_on(r: Rig) -> None:
