--- a/checker/__main__.py
+++ b/checker/__main__.py
@@ -253,6 +253,39 @@
     return 1 if broken else 0
 
 
+def calls(args: argparse.Namespace) -> int:
+    from . import pure  # noqa: PLC0415
+    from .calls import STARTS, World, walk  # noqa: PLC0415
+
+    for name, start in STARTS.items():
+        found = pure.search(lambda start=start: World(start), args.states, settle_every=4)  # type: ignore[misc]
+        print(f"{name}: {found}; by level {found.levels}", flush=True)
+        story, broken = found.story, found.broken
+        for seed in range(args.walks):
+            if not broken:
+                story, broken = walk(seed, 100, start)
+        if broken:
+            print("\n".join([*story, "BROKEN", *broken]))
+            return 1
+        print(f"{name}: {args.walks} walks of 100 steps, settled at each", flush=True)
+    return 0
+
+
+def _pure(commands: Any) -> None:
+    """The machines without a loop."""
+    three = commands.add_parser("members", help="every order for three members, breadth first")
+    three.add_argument("--states", type=int, default=20000)
+    three.set_defaults(run=members)
+    quorum = commands.add_parser("duties", help="every order for three voters and two candidates, and long walks")
+    quorum.add_argument("--states", type=int, default=20000)
+    quorum.add_argument("--walks", type=int, default=2000)
+    quorum.set_defaults(run=duties)
+    lists = commands.add_parser("calls", help="every order for the calls for the list, breadth first, and long walks")
+    lists.add_argument("--states", type=int, default=60000)
+    lists.add_argument("--walks", type=int, default=1000)
+    lists.set_defaults(run=calls)
+
+
 def main(words: Iterable[str] | None = None) -> int:
     parser = argparse.ArgumentParser(prog="checker")
     commands = parser.add_subparsers(dest="command", required=True)
@@ -295,13 +328,7 @@
     planted = commands.add_parser("faults", help="plant each fault of checker.faults and play the tests that find it")
     planted.add_argument("--workers", type=int, default=4)
     planted.set_defaults(run=plant)
-    three = commands.add_parser("members", help="every order for three members, breadth first")
-    three.add_argument("--states", type=int, default=20000)
-    three.set_defaults(run=members)
-    quorum = commands.add_parser("duties", help="every order for three voters and two candidates, and long walks")
-    quorum.add_argument("--states", type=int, default=20000)
-    quorum.add_argument("--walks", type=int, default=2000)
-    quorum.set_defaults(run=duties)
+    _pure(commands)
     args = parser.parse_args(words if words is None else list(words))
     return int(args.run(args))
 
