--- a/tests/discovery/test_calls.py
+++ b/tests/discovery/test_calls.py
@@ -99,6 +99,8 @@
     calls = asked()
     calls.handle(0.0, Later())
     assert until_due(calls) == [Open(1)]
+    due = calls.due_s
+    assert calls.handle(3.0, Later()) == [] and calls.due_s == due
 
 
 def test_a_move_closes_all_and_calls_at_once_and_a_refusal_there_is_soon_tried_again() -> None:
@@ -151,7 +153,17 @@
     assert until_due(calls) == [Close(1), Open(2)]
     calls.handle(0.15, Ended(2))
     assert calls.due_s == pytest.approx(0.2)
-    assert pushed(4.0).hedge_s == 0.5
+    assert pushed(1.2).hedge_s == pytest.approx(0.3) and pushed(4.0).hedge_s == 0.5
+
+
+def test_a_pushed_watch_has_missed_one_heartbeat_when_it_is_called_for_anew() -> None:
+    calls = Calls(pushed(4.0), longest)
+    calls.handle(0.0, Follow())
+    calls.handle(0.0, Spoke(1))
+    calls.handle(2.0, Spoke(1))
+    assert calls.due_s == 5.0
+    assert until_due(calls) == [Open(2)]
+    assert calls.handle(5.1, Spoke(2)) == [Close(1)]
 
 
 @pytest.mark.parametrize("start", explorer.STARTS)
