--- a/tests/duties/test_commands.py
+++ b/tests/duties/test_commands.py
@@ -168,7 +168,9 @@
 
 def test_what_the_command_forked_ends_with_it_and_one_that_ignores_sigterm_is_killed(fleet: Fleet) -> None:
     script = ("import os, signal, time\nsignal.signal(signal.SIGTERM, signal.SIG_IGN)\n"
-              "if os.fork():\n    print(os.getpid(), flush=True)\nelse:\n    print(os.getpid(), flush=True)\n"
+              "said, say = os.pipe()\n"   # one after the other: both write number and line's end by themselves
+              "if os.fork():\n    os.read(said, 1)\n    print(os.getpid(), flush=True)\n"
+              "else:\n    print(os.getpid(), flush=True)\n    os.write(say, b'x')\n"
               "time.sleep(600)\n")
     for ending in ("give", "itself", "daemon"):
         body = script if ending == "give" else script.replace("time.sleep(600)\n", "") + (
