The end of a watch that had fallen silent puts the next call for the list off no more

Cause: Calls._ended took it for a refusal and left the call behind it alone for 3.2 s in place of 1.6 s, so that with that call lost the list was in hand 5.8 s after the last word at the soonest, with nothing left for the service's queue. Only a refusal does so now, and it does so whether the silent watch is still open or not; time after one counts from the refusal on.

The explorer holds the path (it fails on the machine as it was, after two moves), a fault planted into it is found, two tests of the machine and two in virtual time fail without the mend. Its check of hedges takes a call behind a silent watch for hurried also after that watch has ended: that it may be was what the mend is about.

Command inspect and replay: lines of output are not wrapped at 80 columns any more.

--- a/checker/calls.py
+++ b/checker/calls.py
@@ -51,6 +51,9 @@
         self.open: list[int] = []          # calls that are open, in the order of their beginning
         self.began: dict[int, float] = {}
         self.sighup_at = -math.inf         # when SIGHUP came last
+        self.refused_at = -math.inf        # when a call was refused last
+        self.silent_at: float | None = None   # the last word of a watch that fell silent; no refusal came since
+        self.hurried = False               # the last call began behind a silent watch; no refusal came since
         self.event: Event | None = None    # what happened last
         self._give(start)
 
@@ -111,8 +114,16 @@
         calls, self.event = self.calls, event
         if isinstance(event, Reloaded):
             self.sighup_at = self.now
-        before, urgent = dict(calls.pending), calls.watch is not None or self.now - self.sighup_at < MOVED_S
+        before, watch = dict(calls.pending), calls.watch
+        urgent = watch is not None or self.hurried or self.now - self.sighup_at < MOVED_S
         acts = calls.handle(self.now, event)
+        if isinstance(event, Spoke | Asked | Reloaded) or isinstance(event, Ended) and event.call in before:
+            self.silent_at, self.hurried = None, False
+            if isinstance(event, Ended):
+                self.refused_at = self.now
+        elif type(event) is Tick and watch and not before and calls.pending:
+            self.hurried = True
+            self.silent_at = watch.heard_s if self.refused_at <= watch.heard_s else None
         for act in acts:
             if isinstance(act, Open):
                 self.open.append(act.call)
@@ -134,7 +145,9 @@
         return ([round(now - began, 3) for began in calls.pending.values()],
                 calls.watch and round(now - calls.watch.heard_s, 3), round(calls.due_s - now, 3),
                 round(calls._by_s - now, 3), min(calls._failed, 5), calls._urgent, self.broken,
-                type(self.event).__name__, round(min(now - self.sighup_at, 9.0), 3))
+                type(self.event).__name__, round(min(now - self.sighup_at, 9.0), 3),
+                self.silent_at is not None and round(now - self.silent_at, 3), self.hurried,
+                calls.watch is not None and self.refused_at <= calls.watch.heard_s)
 
     # -- discovery can be reached
 
@@ -148,6 +161,9 @@
         if isinstance(self.event, Spoke) and not self.calls.pending:
             found += self._in_hand("the watch has fallen silent", Line(3.1), TOLD_S)
             found += self._in_hand("the watch has fallen silent, and so does the next call", Line(1.5, 1), TOLD_S)
+        if self.silent_at is not None and not self.calls.watch and len(self.calls.pending) == 1:
+            found += self._in_hand("the watch has fallen silent and ended, and the call behind it says nothing",
+                                   Line(1.5), self.silent_at + TOLD_S - self.now)
         if isinstance(self.event, Reloaded) and self.event.moved:
             found += self._in_hand("SIGHUP", Line(3.8), MOVED_S, also=True)
             found += self._in_hand("SIGHUP, and its first call says nothing", Line(1.9), MOVED_S)
--- a/gateusher/cli/inspect.py
+++ b/gateusher/cli/inspect.py
@@ -61,7 +61,7 @@
 def inspect(paths: tuple[str, ...], rules_file: str | None, form: str | None, zone: str | None, strict: bool,
             as_json: bool) -> int:
     """Run the command; its exit code."""
-    told = Console(stderr=True, highlight=False)
+    told = Console(stderr=True, highlight=False, soft_wrap=True)
     try:
         mapping = rules.load(Path(rules_file)) if rules_file else None
         sources = sources_of(paths, form, zone, mapping.json if mapping else {})
@@ -88,7 +88,7 @@
 
 
 def _show(data: dict[str, Any], mapped: bool) -> None:
-    console = Console(highlight=False)
+    console = Console(highlight=False, soft_wrap=True)
     found, read = data["found"], data["read"]
     for source in read["sources"]:
         console.print(f"{source['file']}: {source['format']}{' (guessed)' if source['guessed'] else ''}, "
--- a/gateusher/cli/replay.py
+++ b/gateusher/cli/replay.py
@@ -107,7 +107,7 @@
 
 def replay(wanted: Wanted) -> int:
     """Run the command; its exit code."""
-    told = Console(stderr=True, highlight=False)
+    told = Console(stderr=True, highlight=False, soft_wrap=True)
     try:
         return _replay(wanted, told)
     except UnplayableError as error:
--- a/gateusher/discovery/calls.py
+++ b/gateusher/discovery/calls.py
@@ -16,7 +16,7 @@
     the same, and the next call says nothing        5.8 - MAX_BACKOFF_S - HEDGE_S   0.3 s
     refused Q after discovery could be reached      (5.8 - Q) / 2                   1.4 s for Q of 3 s
     calls that said nothing until then              5.8 - HEDGE_S                   2.6 s
-    a watch that has fallen silent                  5.8 - heartbeat timeout         3.2 s
+    a watch that has fallen silent, ended or not    5.8 - heartbeat timeout         3.2 s
     the same, and the next call says nothing        (5.8 - heartbeat timeout) / 2   1.6 s
     a watch that ended, was cut or can't be read    5.8 - the module's backoff, MAX_BACKOFF_S at most
     SIGHUP                                          3.8                             3.8 s
@@ -242,7 +242,7 @@
         """A wait is over, a watch has fallen silent, or a call has been left alone for long enough."""
         fallen_silent = self.watch is not None and not self.pending
         if self.watch and fallen_silent:
-            self._by_s = self.watch.heard_s + TOLD_S - SLACK_S
+            self._by_s = max(self._by_s, self.watch.heard_s + TOLD_S - SLACK_S)
         self._open(now_s, acts, urgent=fallen_silent)
 
     def _reloaded(self, now_s: float, moved: bool, acts: list[Action]) -> None:
@@ -280,16 +280,18 @@
         self._schedule_hedge(now_s, urgent=False)
 
     def _ended(self, now_s: float, call: int, acts: list[Action]) -> None:
-        took_s = 0.0
-        if self.watch and self.watch.call == call:
-            self.watch = None
-        elif call in self.pending:
+        took_s, refused = 0.0, call in self.pending
+        if refused:
             took_s = now_s - self.pending.pop(call)
+        elif self.watch and self.watch.call == call:
+            self.watch = None
         else:
             return
-        if self.watch is None and not self._urgent:
-            self._by_s = now_s + TOLD_S - SLACK_S  # a refusal says that discovery could not be reached until now
-        if self.watch is None and self.pending:
+        # A refusal says that discovery could not be reached until now, and so does the end of a watch that was
+        # followed.  The end of one that had fallen silent says nothing new: time counts from its last word.
+        if not self._urgent and (refused or not self.pending):
+            self._by_s = now_s + TOLD_S - SLACK_S
+        if refused and self.pending:
             # It may refuse that one as well.
             self.due_s = max(now_s + MIN_HEDGE_S, max(self.pending.values()) + HEDGE_S)
         if self._out:
--- a/tests/discovery/test_calls.py
+++ b/tests/discovery/test_calls.py
@@ -68,6 +68,31 @@
     assert calls.watch is None and len(calls.pending) == 2
 
 
+def test_the_end_of_a_watch_that_had_fallen_silent_puts_nothing_off() -> None:
+    calls = asked()
+    calls.handle(0.0, Follow())
+    calls.handle(0.0, Spoke(1))
+    assert until_due(calls) == [Open(2)]
+    due = calls.due_s
+    assert due == pytest.approx(ASKED.heartbeat_timeout_s + (5.8 - ASKED.heartbeat_timeout_s) / 2)
+    assert calls.handle(3.0, Ended(1)) == [] and calls.due_s == due
+    assert until_due(calls) == [Open(3)]
+    assert until_due(calls) == [Close(2), Open(4)]
+
+
+def test_a_refusal_behind_a_silent_watch_leaves_the_other_call_alone_for_as_long_as_ever() -> None:
+    """The service may refuse that one as well; the watch's end tells nothing more."""
+    calls = asked()
+    calls.handle(0.0, Follow())
+    calls.handle(0.0, Spoke(1))
+    until_due(calls)
+    until_due(calls)
+    began = calls.pending[3]
+    assert calls.handle(began + 0.3, Ended(2)) == []
+    assert calls.due_s == pytest.approx(began + HEDGE_S)
+    assert calls.handle(began + 0.6, Ended(1)) == [] and calls.due_s == pytest.approx(began + HEDGE_S)
+
+
 def test_the_module_is_told_only_where_nothing_is_out_and_may_ask_sooner() -> None:
     calls = asked()
     calls.handle(0.0, Follow())
@@ -220,8 +245,20 @@
         self.watch = None
 
 
+def _taken_for_a_refusal(self: Calls, now_s: float, call: int, acts: list[Action]) -> None:
+    """As it was: the end of a silent watch, too, left the call behind it alone for as long as a refusal does."""
+    behind = self.watch is not None and self.watch.call == call and self.pending
+    _ENDED(self, now_s, call, acts)
+    if behind:
+        self.due_s = max(now_s + 1.0, max(self.pending.values()) + HEDGE_S)
+
+
+_ENDED = Calls._ended
+
+
 @pytest.mark.parametrize(("name", "fault", "said"), [
-    ("_schedule_hedge", _never_beside, "whatever"), ("_ended", _forgets, "may still refuse")])
+    ("_schedule_hedge", _never_beside, "whatever"), ("_ended", _forgets, "may still refuse"),
+    ("_ended", _taken_for_a_refusal, "fallen silent and ended")])
 def test_a_fault_in_a_move_is_found(name: str, fault: Callable[..., None], said: str,
                                     monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(module.Calls, name, fault)
--- a/tests/discovery/test_catalog.py
+++ b/tests/discovery/test_catalog.py
@@ -134,6 +134,23 @@
     assert not second.open and not side.calls[0].open
 
 
+@pytest.mark.parametrize("rest", [b"", b"not a chunk\r\n"], ids=["its end", "nonsense"])
+def test_a_silent_watch_that_ends_behind_its_silence_takes_no_time_from_the_third(side: Side, rest: bytes) -> None:
+    """The next came 3.2 s after the second: 5.8 s after the last word, with nothing left for the queue."""
+    first = watched(side)
+    start = side.loop.now
+    second = side.up(side.call(2, 2.8))
+    if rest:
+        side.feed(first, rest)
+    else:
+        first.transport.end(reset=False)
+        side.settle()
+    assert not first.open and second.open
+    side.up(side.call(3, 1.8))
+    assert side.loop.now - start <= 4.5
+    assert second.open
+
+
 @pytest.mark.parametrize("which", ["the first", "the second"])
 def test_after_a_move_the_first_keeps_its_turn_beside_a_second(side: Side, which: str) -> None:
     """Each call was given up after 1.5 s, and began anew at the end of the service's line."""
--- a/tests/load/test_command.py
+++ b/tests/load/test_command.py
@@ -134,6 +134,22 @@
     assert says in told and "Traceback" not in told
 
 
+def test_a_line_is_told_whole_however_long_the_names_are(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    folder = tmp_path / ("long-" * 30)
+    folder.mkdir()
+    log, rules = files(folder, 4)
+    log.write_text(log.read_text() + "no line\n")
+    assert command(["inspect", str(log), "--format", FORM, "--strict"]) == 2
+    assert f"{log}:5: " in capsys.readouterr().err
+    assert command(["inspect", str(log), "--format", FORM, "--rules", str(rules)]) == 0
+    out = capsys.readouterr().out
+    assert f"{log}: " in out and f"{log}:5: " in out
+    missing = folder / "none.toml"
+    assert command(["replay", str(log), "--format", FORM, "--rules", str(missing),
+                    "--target", "{}:{}".format(*unused())]) == 2
+    assert str(missing) in capsys.readouterr().err
+
+
 def test_inspect_says_what_is_in_a_source(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
     log, rules = files(tmp_path, 90)
     assert command(["inspect", str(log), "--format", FORM, "--rules", str(rules), "--json"]) == 0
