The door lets a request past a crowd of idle clients; limits too small to serve are told at the start

Need: idle clients may fill the descriptors while discovery is down. Measured first on the program as it stood: the watch, a second call and 16 operators have their room (40 descriptors are kept, clients may hold 0.6 of the rest), but a new connection behind a crowd that keeps coming waited for its turn while each silent one was let in for 0.1 s.

Change: where silent clients fill the table and somebody has waited at the door for 0.1 s, those at the door who have sent nothing are shut at once, and who has sent something gets the place of one that never has; where those who are in are at work nothing changes. limits.sockets under 48 (40 kept, 8 to serve with) and a kernel limit under that end the start with one line and code 2; a kernel limit under the settings' is used and told; less memory than a start takes is told.

On sockets: who has asked gets in past the silent (fails on the program before), and nobody is shut where all are at work (fails where the door is sifted there too). test_a_crowd_never_takes_more_descriptors counted those let in; with a sifted door some are shut there instead, so it counts both, holds the descriptors in use as well, and plays the old path beside the new.

--- /dev/null
+++ b/bench/door.py
@@ -0,0 +1,68 @@
+"""A request behind a crowd of idle clients that fill the descriptors: `python -m bench.door [--requests N]`
+
+One real process at a time under 96 descriptors, whose door is sifted or not; the crowd connects, says nothing and
+comes again when it is shut.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import tempfile
+import time
+from pathlib import Path
+from statistics import median
+
+import click
+import uvloop
+
+from tests.net import Discovery, Endpoint, host
+from tests.standing.process import RUN, Crowd, daemon, up
+
+LIMIT = 96
+CROWDS = (20, 60, 200, 800)
+UNSIFTED = (f'exec {sys.executable} -c "import gateusher.listeners.http as http, runpy; http.SIFT_S = 1e9; '
+            "runpy.run_module('gateusher', run_name='__main__')\"")
+DOORS = {"let in, each for 0.1 s": UNSIFTED, "sifted": RUN}
+
+
+async def play(run_it: str, size: int, requests: int) -> tuple[list[float], int]:
+    """Seconds until each request was answered, and how many were not: their connections were shut unread."""
+    endpoint = Endpoint()
+    await endpoint.start()
+    hosts = [host("e0", endpoint.port)]
+    discovery = Discovery(hosts)
+    await discovery.start()
+    took, shut = list[float](), 0
+    with tempfile.TemporaryDirectory(prefix="gateusher-") as folder:
+        async with daemon(Path(folder), hosts, discovery.port, run_it, LIMIT, sockets=LIMIT) as d:
+            await up(d.process, d.where)
+            await discovery.watched.wait()
+            crowd = Crowd(d.where, size)
+            await asyncio.sleep(1.0)
+            for i in range(requests):
+                began = time.monotonic()
+                try:
+                    await d.named(f"r{i}")
+                    took.append(time.monotonic() - began)
+                except (ConnectionError, asyncio.IncompleteReadError):
+                    shut += 1
+            crowd.close()
+    for server in (endpoint.server, discovery.server):
+        server.close()
+    return took, shut
+
+
+@click.command(help="A request behind a crowd of idle clients that fill the descriptors.")
+@click.option("--requests", default=60, show_default=True, help="Of each row.")
+def main(requests: int) -> None:
+    print("| idle clients | door | answered after, s: median | most | shut unread |\n|---|---|---|---|---|")
+    for size in CROWDS:
+        for door, run_it in DOORS.items():
+            with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+                took, shut = runner.run(play(run_it, size, requests))
+            print(f"| {size} | {door} | {median(took):.3f} | {max(took):.3f} | {shut} of {requests} |", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/gateusher/base/limits.py
+++ b/gateusher/base/limits.py
@@ -8,6 +8,8 @@
 # A dozen for standard streams, poller, signals, listeners, handover and discovery, 16 for operators, and the rest for
 # closes that are under way.
 SPARE_DESCRIPTORS = 40
+LEAST_SERVING = 8       # and fewer than so many beside them serve nobody
+LEAST_DESCRIPTORS = SPARE_DESCRIPTORS + LEAST_SERVING
 CLIENT_SHARE = 0.6      # part of the rest that clients may hold: without endpoints none could be served
 IDLE_PART = 8           # one part in so many may be clients' connections that stand idle
 
@@ -63,7 +65,7 @@
 
     def resize(self, sockets: int) -> None:
         """Another limit, spare ones included; what stands idle beyond it is closed."""
-        self.most = max(8, sockets - SPARE_DESCRIPTORS)
+        self.most = max(LEAST_SERVING, sockets - SPARE_DESCRIPTORS)
         self.most_clients = int(self.most * CLIENT_SHARE)
         self.most_idle = max(4, self.most // IDLE_PART)
         for _ in range(self.used - self.most):  # each counts until its close is through, some turns later
--- a/gateusher/cli/run.py
+++ b/gateusher/cli/run.py
@@ -8,11 +8,13 @@
 import asyncio
 import gc
 import os
+import resource
 import signal
 from collections.abc import Mapping
 
 import uvloop
 
+from ..base.limits import LEAST_DESCRIPTORS
 from ..base.log import attach, say
 from ..config import platform
 from ..config.model import Config, ConfigError
@@ -47,6 +49,36 @@
     sidecar.follow(config)
 
 
+def _resident_mb() -> float:
+    """What this process has in memory by now (proc(5), statm); 0 where the system doesn't tell.
+
+    Not getrusage(2): its most counts what the process was before it was this program.
+    """
+    try:
+        with open("/proc/self/statm", encoding="ascii") as file:
+            return int(file.read().split()[1]) * resource.getpagesize() / 1048576
+    except (OSError, ValueError, IndexError):
+        return 0.0
+
+
+def within_reach(config: Config) -> Config:
+    """The configuration with no more descriptors than the kernel lets this process open (getrlimit(2)).
+
+    Who sets a limit beyond that has it cut, and is told so; so is who sets less memory than a start takes.  Raises
+    ConfigError where too few are left to serve: each would fail later, one request or one call at a time.
+    """
+    taken_mb = _resident_mb()
+    if config.memory_mb < taken_mb:
+        say("limits.memory_mb", f"{config.memory_mb:g} is less than a start takes, which is {taken_mb:.0f}")
+    most, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if most == resource.RLIM_INFINITY or most >= config.sockets:
+        return config
+    if most < LEAST_DESCRIPTORS:
+        raise ConfigError(f"limits.sockets: {LEAST_DESCRIPTORS} or more wanted, and this process may open {most}")
+    say("limits.sockets", f"{config.sockets} are wanted, this process may open {most}: {most} are used")
+    return config._replace(sockets=most)
+
+
 async def _run(config: Config, path: str | None, inherited: Inherited | None, meeting: str | None) -> int:
     loop = asyncio.get_running_loop()
     sidecar = None
@@ -77,7 +109,7 @@
     signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     attach()
     try:
-        config = load(path, os.environ)
+        config = within_reach(load(path, os.environ))
     except ConfigError as error:
         for fault in error.faults:
             say("configuration", fault)
--- a/gateusher/listeners/http.py
+++ b/gateusher/listeners/http.py
@@ -12,6 +12,7 @@
 import socket
 import struct
 from collections import deque
+from math import inf
 from typing import cast
 
 import httptools
@@ -42,6 +43,7 @@
 NEW_S, STUCK_S = 0.1, 0.5    # where room is short: a silent connection, and half a request, go after that
 BACKLOG = 1024
 ACCEPT_PAUSE_S = 0.05
+SIFT_S = 0.1                 # how long somebody waits at the door where silent clients fill the table
 STOP_LISTENING_S = 0.55      # after SIGTERM: new connections come for 0.4 s
 GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 FORMER_S = 1.3              # after new settings: clients go by them 1.2 s later
@@ -561,6 +563,14 @@
             transport.write_eof()
 
 
+def _has_sent(sock: socket.socket) -> bool:
+    """Whether there is something to read."""
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+    except OSError:
+        return False
+
+
 class Server:
     """The listener and all connections of the application's."""
 
@@ -582,6 +592,7 @@
         self.phases = Phases()
         self._end_s = END_S
         self._accepting = False
+        self._queued_since = inf             # since when somebody waits at the door who found no room
         self._socket: socket.socket | None = door
         if door is None:
             self._socket = socket.create_server(
@@ -623,13 +634,16 @@
             if len(self._clients) >= self._fds.most_clients or not self._fds.take():
                 # A descriptor is free only when its connection is gone, some turns of the loop later.  Until
                 # then nothing is accepted on its account, or a crowd comes in faster than others are closed.
-                if not self._reclaim():
+                self._queued_since = min(self._queued_since, self.loop.time())
+                if not self._reclaim() and not self._sift():
                     self._pause("all descriptors are in use")
                 return
             try:
                 sock, _ = self._socket.accept()
             except OSError as error:
                 self._fds.give()
+                if isinstance(error, BlockingIOError):
+                    self._queued_since = inf
                 # Out of descriptors or memory: the queue would wake us again at once, so wait a little.
                 if error.errno in {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}:
                     self._fds.reclaim()
@@ -638,12 +652,45 @@
                 if error.errno == errno.ECONNABORTED:
                     continue
                 return
-            sock.setblocking(False)
-            client = Client(self)
-            self._clients.add(client)
-            task: asyncio.Task[object] = self.loop.create_task(self._attach(client, sock))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._take(sock)
+
+    def _take(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        client = Client(self)
+        self._clients.add(client)
+        task: asyncio.Task[object] = self.loop.create_task(self._attach(client, sock))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _sift(self) -> bool:
+        """Where clients that say nothing fill the table and others wait: shut those who wait and say nothing, too.
+
+        Who has sent something gets the place of one that never has.  It guards against a crowd that keeps
+        connecting: each is let be for `NEW_S`, and behind many of them a request waited for longer than it could.
+        It could harm a client that sends only a while after it has connected, and only while there is such a crowd.
+        Whether the door was sifted: not before somebody has waited for `SIFT_S`, nor where those who are in are
+        at work.  A descriptor of the spare ones is used for each in turn.
+        """
+        if self.loop.time() - self._queued_since <= SIFT_S or not self._socket:
+            return False
+        silent = sorted((c for c in self._clients if not c.used and not c.sending and c.spare(inf)),
+                        key=lambda c: c.at, reverse=True)
+        if not silent:
+            return False
+        for _ in range(BACKLOG):
+            try:
+                sock, _ = self._socket.accept()
+            except BlockingIOError:
+                self._queued_since = inf
+                break
+            except OSError:
+                break
+            if silent and _has_sent(sock) and self._fds.take():
+                silent.pop().close()
+                self._take(sock)
+            else:
+                sock.close()
+        return True
 
     async def _attach(self, client: Client, sock: socket.socket) -> None:
         try:
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -9,7 +9,7 @@
 import heapq
 from bisect import bisect_right
 from collections import Counter, deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from random import Random
 
 from gateusher.policy.brain import Balancer
@@ -59,10 +59,11 @@
     """
 
     def __init__(self, eid: int, mean: float, places: int = 2, share: float = 0.3,
-                 warm_within: float = 8800.0) -> None:
-        self.eid, self.mean, self.places = eid, mean, places
+                 warm_within: float = 8800.0, kind: int = 0) -> None:
+        self.eid, self.mean, self.places, self.kind = eid, mean, places, kind
         self.share, self.warm_within, self.cold_from = share, warm_within, -1e12
         self.asked: list[tuple[float, float]] = []   # while cold: when, and how much work in ms
+        self.by_told: list[bool] = []                # for each of these: whether its sender knew of the start
         self.waiting: deque[tuple[Callable[[], None], float]] = deque()
         self.busy = False
         self.up = True
@@ -85,18 +86,26 @@
 
 
 class Crowd:
-    """`clients` balancers with `rate` requests a second each, and `boxes` servers of `mean` ms of work each."""
+    """`clients` balancers with `rate` requests a second each, and `boxes` servers of `mean` ms of work each.
 
-    def __init__(self, clients: int, boxes: int, rate: float, mean: float = 33.0, seed: int = 1,
-                 list_rate: float = 0.0, **more: object) -> None:
+    `rate` may name each client's own.  `surge` multiplies what all are asked for, at any time.  Where `slower` is not
+    1 every second server is of another kind, which takes so many times as long.
+    """
+
+    def __init__(self, clients: int, boxes: int, rate: float | Sequence[float], mean: float = 33.0, seed: int = 1,
+                 list_rate: float = 0.0, slower: float = 1.0, **more: object) -> None:
         self.rng, self.now = Random(seed), 0.0
         self.todo: list[tuple[float, int, Callable[[], None]]] = []
         self.count = 0
-        self.boxes = {i: Box(i, mean) for i in range(1, boxes + 1)}
-        self.rate, self.rid = rate, 0
+        kinds = (0, 1) if slower != 1.0 else (0, 0)
+        self.boxes = {i: Box(i, mean * (slower if kinds[i % 2] else 1.0), kind=kinds[i % 2])
+                      for i in range(1, boxes + 1)}
+        self.rates = [rate] * clients if isinstance(rate, int | float) else list(rate)
+        self.surge, self.rid = 1.0, 0
+        self.knows: set[tuple[int, int]] = set()   # (client, server): it was told of the server's last start
         conf = {"max_attempts": 6, "idle_ms": 15000.0, "report_fields": ("waiting",), "clients": clients,
                 "cold_share": 0.3, "warm_within_ms": 8800.0, "fall_multiple": 2.5, "fall_ms": 1500.0,
-                "must_ask": True, **more}
+                "must_ask": True, "kinds": 2, **more}
         self.clients = [Balancer(Settings(classes=CLASSES, index=i, **conf), seed * 1000 + i)  # type: ignore[arg-type]
                         for i in range(clients)]
         self.open: dict[tuple[int, int], tuple[int, float]] = {}   # (client, request): class, when it came
@@ -106,11 +115,10 @@
         self.listing = Listing(self, list_rate) if list_rate else None
         for i in range(clients):  # all start at once; with a list that must be asked they know an old one
             self.tell(i, ListKind.CACHED if list_rate else ListKind.FULL, [self.line(e) for e in self.boxes])
-            self.later(self.rng.expovariate(rate) * 1000, lambda i=i: self.arrive(i))
+            self.later(self.rng.expovariate(self.rates[i]) * 1000, lambda i=i: self.arrive(i))
 
-    @staticmethod
-    def line(eid: int, state: State = State.READY, booted: float = 0.0) -> Endpoint:
-        return Endpoint(eid, state, 0, eid, 0, 1.0, booted)
+    def line(self, eid: int, state: State = State.READY, booted: float = 0.0) -> Endpoint:
+        return Endpoint(eid, state, 0, eid, self.boxes[eid].kind, 1.0, booted)
 
     def later(self, wait: float, what: Callable[[], None]) -> None:
         self.count += 1
@@ -126,7 +134,7 @@
         self.act(i, self.clients[i].handle(self.now, ListNews(kind, 1, tuple(lines))))
 
     def arrive(self, i: int) -> None:
-        self.later(self.rng.expovariate(self.rate) * 1000, lambda: self.arrive(i))
+        self.later(self.rng.expovariate(self.rates[i] * self.surge) * 1000, lambda: self.arrive(i))
         self.rid += 1
         cls = self.rng.choices(range(len(CLASSES)), MIX)[0]
         patience = CLASSES[cls].deadline_ms * 0.6
@@ -154,7 +162,7 @@
         self.sums["sent"] += 1
         self.sent[act.endpoint] += 1
         box, began, over = self.boxes[act.endpoint], self.now, [False]
-        able = box.able(self.now)
+        able, known_cold = box.able(self.now), (i, act.endpoint) in self.knows
 
         def end(outcome: Outcome, report: tuple[float, ...] = ()) -> None:
             if over[0]:
@@ -178,6 +186,7 @@
         def come() -> None:
             if box.up and able < 1.0:
                 box.asked.append((self.now, box.mean))
+                box.by_told.append(known_cold)
             if not box.up:
                 self.later(DIAL - WAY, lambda: end(Outcome.CONNECT_FAILED))
             elif box.busy and len(box.waiting) >= box.places:
@@ -196,16 +205,41 @@
             self.boxes[eid].up = False
             self.boxes[eid].waiting.clear()
 
-    def bring_back(self, eids: list[int], told_after: float | None) -> None:
-        """They return cold, and the list says so after a while, or never."""
+    def bring_back(self, eids: list[int], told_after: float | None | Callable[[int], float | None]) -> None:
+        """They return cold, and the list says so after a while (0.5 to 1.5 times as long), or never.
+
+        As a function `told_after` says for each client when exactly.
+        """
         for eid in eids:
             box = self.boxes[eid]
             box.up, box.cold_from = True, self.now
+        self.knows -= {(i, eid) for i in range(len(self.clients)) for eid in eids}
         lines = [self.line(eid, booted=self.now) for eid in eids]
-        if told_after is not None:
-            for i in range(len(self.clients)):
-                self.later(told_after * (0.5 + self.rng.random()),
-                           lambda i=i: self.tell(i, ListKind.CHANGES, lines))  # type: ignore[misc]
+
+        def told(i: int) -> None:
+            self.knows.update((i, eid) for eid in eids)
+            self.tell(i, ListKind.CHANGES, lines)
+
+        for i in range(len(self.clients)):
+            if callable(told_after):
+                wait = told_after(i)
+            else:
+                wait = None if told_after is None else told_after * (0.5 + self.rng.random())
+            if wait is not None:
+                self.later(wait, lambda i=i: told(i))  # type: ignore[misc]
+
+    def replace(self, eids: list[int], told_after: Callable[[int], float | None]) -> None:
+        """These servers are gone for good, and new ones, which no client knows, begin cold in their places."""
+        self.lose(eids)
+        fresh = [max(self.boxes) + 1 + n for n in range(len(eids))]
+        for new, old in zip(fresh, eids, strict=True):
+            box = self.boxes[old]
+            self.boxes[new] = Box(new, box.mean, box.places, box.share, box.warm_within, box.kind)
+        gone = [self.line(eid, State.GONE) for eid in eids]
+        for i in range(len(self.clients)):
+            if (wait := told_after(i)) is not None:
+                self.later(wait, lambda i=i: self.tell(i, ListKind.CHANGES, gone))  # type: ignore[misc]
+        self.bring_back(fresh, told_after)
 
     def work(self, box: Box) -> None:
         if box.busy or not box.waiting:
--- a/tests/net.py
+++ b/tests/net.py
@@ -60,6 +60,11 @@
         self.breaks = 0               # watches that still break off before they say anything
         self.asked: list[bytes] = []
         self.watched = asyncio.Event()
+        self.callers = set[Writer]()
+        self.called = asyncio.Event()
+        self.go = asyncio.Event()     # nobody is answered before
+        self.go.set()
+        self.resets = False           # who calls is reset
 
     async def start(self, where: tuple[str, int] = ("127.0.0.1", 0)) -> None:
         self.server = await asyncio.start_server(self._serve, *where)
@@ -67,9 +72,14 @@
 
     async def _serve(self, reader: Reader, writer: Writer) -> None:
         line = json.dumps({"seq": self.seq, "whole": True, "hosts": self.hosts}).encode() + b"\n"
+        self.callers.add(writer)
+        self.called.set()
         try:
             while True:
+                if self.resets:
+                    return writer.transport.abort()
                 head, _ = await read_message(reader)
+                await self.go.wait()
                 self.asked.append(head.split(b"\r\n")[0])
                 if b"watch=1" in head and self.breaks:
                     self.breaks -= 1
@@ -83,6 +93,12 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
 
+    def cut(self) -> None:
+        """Reset all connections to it."""
+        for writer in self.callers:
+            writer.transport.abort()
+        self.callers.clear()
+
 
 def unused() -> tuple[str, int]:
     """An address to listen on later: connections start from 127.0.0.1, so none takes this port meanwhile."""
--- /dev/null
+++ b/tests/standing/test_full.py
@@ -0,0 +1,150 @@
+"""Idle clients fill a real process's descriptors while discovery is away, and limits that are too small to serve."""
+
+import asyncio
+import signal
+import sys
+from contextlib import suppress
+from pathlib import Path
+
+import pytest
+
+from gateusher.base.limits import LEAST_DESCRIPTORS, Descriptors
+
+from ..helpers import HANG_S, until
+from ..net import Discovery, Endpoint, Writer, host, unused
+from ..test_sockets import run
+from .process import RUN, Crowd, Process, daemon, up
+
+LIMIT = 96
+CROWD = 2 * LIMIT      # idle clients at any time
+
+
+async def _named(name: str) -> Endpoint:
+    """An endpoint that says its name."""
+    async def answer(head: bytes, writer: Writer) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nX-Name: %b\r\nContent-Length: 0\r\n\r\n" % name.encode())
+    endpoint = Endpoint(answer)
+    await endpoint.start()
+    return endpoint
+
+
+async def _served(d: Process) -> bool:
+    """Whether a request was answered; where there is a crowd its connection may be shut unread."""
+    try:
+        return bool(await d.named("a"))
+    except (ConnectionError, asyncio.IncompleteReadError):
+        return False
+
+
+async def _filled_while_discovery_is_away(folder: Path, run_it: str = RUN) -> None:
+    old, new = await _named("old"), await _named("new")
+    hosts = [host("e0", old.port)]
+    first = Discovery(hosts)
+    await first.start()
+    async with daemon(folder, hosts, first.port, run_it, LIMIT, sockets=LIMIT) as d:
+        await up(d.process, d.where)
+        await first.watched.wait()
+        crowd = Crowd(d.where, CROWD)
+        operators = [await asyncio.open_connection(*d.admin) for _ in range(16)]
+        try:
+            await until(lambda: d.descriptors >= Descriptors(LIMIT).most_clients)
+            first.server.close()
+            first.cut()
+            refused = asyncio.Event()
+            away = await asyncio.start_server(lambda _, writer: (refused.set(), writer.transport.abort()),
+                                              "127.0.0.1", first.port)
+            await refused.wait()                      # it has called in vain
+            await until(lambda: min(crowd.shut) > 0)  # each new one had its turn: none is left hanging
+            away.close()
+            second = Discovery([host("e0", old.port, "Terminating"), host("e1", new.port)], seq=2)
+            await second.start(("127.0.0.1", first.port))
+            await second.watched.wait()
+            name = b""
+            while b"x-name: new" not in name:  # the list is read a moment after it was written
+                with suppress(ConnectionError, asyncio.IncompleteReadError):  # shut unread: there is a crowd
+                    name = await d.named("a")
+            await d.ready()
+            for _, writer in operators:
+                writer.close()
+            d.process.send_signal(signal.SIGTERM)
+            crowd.close()
+            assert await d.process.wait() == 0
+        finally:
+            crowd.close()
+    assert d.process.stderr
+    said = await d.process.stderr.read()
+    assert b"Traceback" not in said
+    assert b"Too many open files" not in said  # nothing had to be lucky: neither a call for the list nor a client
+    for server in (second.server, old.server, new.server):
+        server.close()
+
+
+def test_idle_clients_fill_the_descriptors_while_discovery_is_away(tmp_path: Path) -> None:
+    """Back, it is watched, its list is followed and requests are served; operators are answered all the time."""
+    run(asyncio.wait_for(_filled_while_discovery_is_away(tmp_path), HANG_S))
+
+
+PLANTED = ("import gateusher.base.limits as limits, runpy; limits.SPARE_DESCRIPTORS = 0; limits.CLIENT_SHARE = 1.0; "
+           "runpy.run_module('gateusher', run_name='__main__')")
+
+
+def test_without_room_for_the_watch_that_is_noticed(tmp_path: Path) -> None:
+    run_it = f'exec {sys.executable} -c "{PLANTED}"'
+    with pytest.raises(AssertionError, match="Too many open files"):
+        run(asyncio.wait_for(_filled_while_discovery_is_away(tmp_path, run_it), HANG_S))
+
+
+async def _refused(folder: Path, says: str, hard: int = 1024, **limits: float) -> None:
+    async with daemon(folder, [host("e0", 1)], unused()[1], hard=hard, **limits) as d:
+        assert await d.process.wait() == 2
+        assert d.process.stderr
+        told = (await d.process.stderr.read()).decode().splitlines()
+    assert len(told) == 1 and says in told[0], told
+
+
+@pytest.mark.parametrize(("hard", "sockets", "says"), [
+    (1024, LEAST_DESCRIPTORS - 1, "limits.sockets: a number of 48 or more wanted, found 47"),
+    (1024, 1, "limits.sockets: a number of 48 or more wanted, found 1"),
+    (LEAST_DESCRIPTORS - 1, 1024, "limits.sockets: 48 or more wanted, and this process may open 47")])
+def test_a_limit_too_small_to_serve_is_told_in_one_line_at_the_start(hard: int, sockets: int, says: str,
+                                                                     tmp_path: Path) -> None:
+    run(asyncio.wait_for(_refused(tmp_path, says, hard, sockets=sockets), HANG_S))
+
+
+@pytest.mark.parametrize(("hard", "limits", "says"), [
+    (LEAST_DESCRIPTORS, {"sockets": LEAST_DESCRIPTORS}, ""),
+    (LEAST_DESCRIPTORS, {"sockets": 1024}, "limits.sockets: 1024 are wanted, this process may open 48: 48 are used"),
+    (1024, {"memory_mb": 2}, "limits.memory_mb: 2 is less than a start takes, which is ")])
+def test_with_the_least_it_serves_under_a_crowd(hard: int, limits: dict[str, float], says: str,
+                                                tmp_path: Path) -> None:
+    async def test() -> None:
+        endpoint = await _named("e0")
+        hosts = [host("e0", endpoint.port)]
+        discovery = Discovery(hosts)
+        await discovery.start()
+        async with daemon(tmp_path, hosts, discovery.port, hard=hard, **limits) as d:
+            await up(d.process, d.where)
+            await discovery.watched.wait()
+            crowd = Crowd(d.where, 64)
+            operators = [await asyncio.open_connection(*d.admin) for _ in range(16)]
+            try:
+                await until(lambda: min(crowd.shut) > 0)
+                while not await _served(d):
+                    pass
+                discovery.cut()
+                discovery.watched.clear()
+                await discovery.watched.wait()
+                await d.ready()
+            finally:
+                crowd.close()
+                for _, writer in operators:
+                    writer.close()
+            d.process.send_signal(signal.SIGTERM)
+            assert await d.process.wait() == 0
+            assert d.process.stderr
+            told = (await d.process.stderr.read()).decode()
+        assert says in told and "Traceback" not in told and "Too many open files" not in told
+        assert told.count("gateusher: limits.") == bool(says)
+        discovery.server.close()
+        endpoint.server.close()
+    run(asyncio.wait_for(test(), HANG_S))
--- a/tests/standing/test_run.py
+++ b/tests/standing/test_run.py
@@ -11,9 +11,7 @@
 import socket
 import subprocess
 import sys
-import tomllib
 from collections.abc import Iterator
-from contextlib import suppress
 from pathlib import Path
 
 import pytest
@@ -21,11 +19,9 @@
 from ..helpers import HANG_S
 from ..net import Discovery, Endpoint, Writer, configuration, host, look, pay, read_message, unused
 from ..test_sockets import ROOT, run, status
+from .process import DEPLOY, RUN, up
 from .refusal import Watch
 
-DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
-# The same words with the interpreter that runs the tests: a clone of another folder has no .venv of its own.
-RUN = DEPLOY["run"].replace(".venv/bin/python", sys.executable)
 LONG = 3 << 20
 
 
@@ -36,28 +32,6 @@
     watch.end()
 
 
-async def _health(where: tuple[str, int]) -> None:
-    """Wait until it takes clients: asked again and again, since it does not say so by itself."""
-    while True:
-        with suppress(OSError, asyncio.IncompleteReadError):
-            reader, writer = await asyncio.open_connection(*where)
-            writer.write(b"GET /_health HTTP/1.1\r\nHost: o\r\n\r\n")
-            head, _ = await read_message(reader)
-            writer.close()
-            if status(head) == 200:
-                return
-        await asyncio.sleep(0.01)
-
-
-async def _up(process: asyncio.subprocess.Process, where: tuple[str, int]) -> None:
-    """Wait until it serves; a process that ended instead has failed to start."""
-    tasks = [asyncio.ensure_future(process.wait()), asyncio.ensure_future(_health(where))]
-    await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-    for task in tasks:
-        task.cancel()
-    assert process.returncode is None, "it did not start"
-
-
 async def _long(head: bytes, writer: Writer) -> None:
     """Answers that are passed on as they come, where a program could think of splice."""
     size = LONG if b"long" in head else 2
@@ -91,7 +65,7 @@
                  "BALANCER_DISCOVERY": f"127.0.0.1:{first.port}"})
         watch.begin()
         try:
-            await _up(process, where)
+            await up(process, where)
             await first.watched.wait()
             with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer:  # whatever peers send is no reason to end
                 for data in (b"", b"\0" * 256, b"{}", b"\xff" * 1400, os.urandom(256)):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,10 +1,15 @@
 """Sums over forty balancers side by side: what is harmless in one and harmful in all of them."""
 
+from collections.abc import Callable
+
 import pytest
 
 from bench.crowd import BOXES, CLIENTS, FALL_MULTIPLE, FALL_MS
+from gateusher.policy.brain import Balancer
+from gateusher.policy.records import Server
 
 from .crowd import Crowd
+from .ramp import WAYS, play
 
 
 def _overloaded(seed: int) -> Crowd:
@@ -64,3 +69,42 @@
     used = sum(sum(work for _, work in crowd.boxes[eid].asked) for eid in zone)
     room = sum(5000.0 * (crowd.boxes[eid].able(9000.0) + crowd.boxes[eid].able(14000.0)) / 2 for eid in zone)
     assert used > 0.6 * room             # and they are used while the others are full, or they would stay cold
+
+
+@pytest.mark.parametrize("way", WAYS)
+@pytest.mark.parametrize(("clients", "seed"), [(6, 1), (6, 2), (20, 1), (20, 2), (30, 1), (30, 2), (200, 1)])
+def test_the_ramp_holds_for_the_fleet_whatever_its_size(clients: int, seed: int, way: str) -> None:
+    """No window put down to the told is beyond N + 2 x root of N + 2, and cold servers are used all the same."""
+    for told in ("told", "told late", "a third each") if clients < CLIENTS else ("told",):
+        worst = play(clients, "full", way, told, seed)
+        assert worst.broken == 0 and worst.told <= 1.0
+        assert worst.used > (0.3 if told != "told" else 0.6)
+
+
+def _undivided(times: float) -> Callable[[Balancer, Server], bool]:
+    """Each takes as its own part what so many sidecars have together."""
+    def has_credit(self: Balancer, server: Server) -> bool:
+        rate, self.rate = self.rate, self.rate * times
+        try:
+            return _HAS_CREDIT(self, server)
+        finally:
+            self.rate = rate
+    return has_credit
+
+
+def _all_at_once(self: Balancer, server: Server, start: float) -> None:
+    """Each begins with a place, as if it were alone."""
+    _CHILL(self, server, start)
+    server.credit = 1.0
+
+
+_HAS_CREDIT, _CHILL = Balancer._has_credit, Balancer._chill
+
+
+@pytest.mark.parametrize(("clients", "name", "fault"), [
+    (20, "_has_credit", _undivided(20.0)), (30, "_has_credit", _undivided(30.0)),
+    (200, "_chill", _all_at_once)], ids=["20, undivided", "30, undivided", "200, all at once"])
+def test_parts_that_do_not_shrink_with_the_fleet_are_noticed(
+        clients: int, name: str, fault: Callable[..., object], monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Balancer, name, fault)
+    assert play(clients, "full", "return", "told", 1).broken > 0
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -18,7 +18,7 @@
 from gateusher import daemon as sidecar_module
 from gateusher.upstream import http as upstream_module
 
-from .helpers import HANG_S
+from .helpers import HANG_S, until
 from .net import OK, Discovery, Endpoint, Writer, configuration, host, look, pay, read_message, rig, unused
 
 ROOT = Path(__file__).parent.parent
@@ -146,6 +146,64 @@
     run(test())
 
 
+def test_who_has_asked_gets_the_place_of_a_silent_one_and_silent_ones_at_the_door_are_shut(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """However long a silent one might stay where nobody waits."""
+    for name in ("NEW_S", "SILENT_S"):
+        monkeypatch.setattr(server_module, name, 2.0 * HANG_S)
+
+    async def test() -> None:
+        async with rig(Endpoint(), limits={"memory_mb": 64, "sockets": 56}) as r:
+            most = r.sidecar.server._fds.most_clients
+            crowd = [await r.connect() for _ in range(3 * most)]
+            head, _ = await r.ask(look())
+            assert status(head) == 200
+            shut = [asyncio.ensure_future(reader.read()) for reader, _ in crowd]
+            while sum(task.done() for task in shut) < 2 * most:
+                await asyncio.wait_for(asyncio.wait([t for t in shut if not t.done()],
+                                                    return_when=asyncio.FIRST_COMPLETED), HANG_S)
+            for task, (_, writer) in zip(shut, crowd, strict=True):
+                task.cancel()
+                writer.close()
+    run(test())
+
+
+def test_where_all_who_are_in_are_at_work_a_request_waits_at_the_door(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(server_module, "SIFT_S", 0.0)
+
+    async def test() -> None:
+        go, came = asyncio.Event(), 0
+
+        async def wait(_: bytes, writer: Writer) -> None:
+            nonlocal came
+            came += 1
+            await go.wait()
+            writer.write(OK)
+
+        async with rig(Endpoint(wait), limits={"memory_mb": 64, "sockets": 56}) as r:
+            server, paused = r.sidecar.server, asyncio.Event()
+            pause = server._pause
+
+            def seen(why: object) -> None:
+                paused.set()
+                pause(why)
+
+            monkeypatch.setattr(server, "_pause", seen)
+            most = server._fds.most_clients
+            asked = [asyncio.ensure_future(r.ask(look(f"a{i}", deadline="100"))) for i in range(most)]
+            await until(lambda: len(server._clients) == most and all(c._queue for c in server._clients))
+            late = asyncio.ensure_future(r.ask(look("late", deadline="100")))
+            for _ in range(2):  # looked at again after a pause, and left where it is
+                await asyncio.wait_for(paused.wait(), HANG_S)
+                paused.clear()
+            assert not late.done()
+            go.set()
+            for task in (*asked, late):
+                assert status((await task)[0]) == 200
+            assert came == most + 1
+    run(test())
+
+
 def test_a_request_that_dribbles_ends_in_time(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(server_module, "WHOLE_S", 0.3)
     monkeypatch.setattr(sidecar_module, "SWEEP_S", 0.05)
@@ -376,26 +434,44 @@
     run(test())
 
 
-def test_a_crowd_never_takes_more_descriptors_than_there_are(monkeypatch: pytest.MonkeyPatch) -> None:
-    """They come at once and all may be closed for one another, but a close takes its time."""
+@pytest.mark.parametrize("sifted", [False, True], ids=["all let in", "sifted at the door"])
+def test_a_crowd_never_takes_more_descriptors_than_there_are(sifted: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    """They come at once and all may be closed for one another, but a close takes its time.
+
+    Where the door is sifted, those who were shut there come to the same number with those who were let in.
+    """
     monkeypatch.setattr(server_module, "NEW_S", 0.0)
+    monkeypatch.setattr(server_module, "SIFT_S", -1.0 if sifted else 2.0 * HANG_S)
+    at_door: list[bool] = []
+    has_sent = server_module._has_sent
+
+    def looked(sock: socket.socket) -> bool:
+        at_door.append(has_sent(sock))
+        return at_door[-1]
+
+    monkeypatch.setattr(server_module, "_has_sent", looked)
 
     async def test() -> None:
         async with rig(Endpoint(), limits={"memory_mb": 64, "sockets": 56}) as r:
             server = r.sidecar.server
             most: list[int] = []
+            used: list[int] = []
             attach = server._attach
 
             async def counted(client: server_module.Client, sock: socket.socket) -> None:
                 most.append(len(server._clients))
+                used.append(server._fds.used)
                 await attach(client, sock)
 
             monkeypatch.setattr(server, "_attach", counted)
             crowd = await asyncio.gather(*(r.connect() for _ in range(60)))
             head, _ = await r.ask(look())
             assert status(head) == 200
-            assert len(most) >= 61
-            assert max(most) <= server._fds.most_clients
+            assert len(most) + at_door.count(False) >= 61
+            assert bool(at_door) == sifted
+            assert max(used) <= server._fds.most
+            # Who has asked comes in beside one whose close is under way.
+            assert max(most) <= server._fds.most_clients + at_door.count(True)
             for _, writer in crowd:
                 writer.close()
     run(test())
