Accept queue: the field's terms for shedding silent clients; out of descriptors there pauses

The door is also the policy's word for admission; shedding at accept is what it is. Where accept fails for want of descriptors while it sheds, the queue waits for a pause as everywhere, in place of being looked at again at once.

--- a/bench/door.py
+++ b/bench/accept_queue.py
@@ -1,7 +1,7 @@
-"""A request behind a crowd of idle clients that fill the descriptors: `python -m bench.door [--requests N]`
+"""A request behind a crowd of idle clients that fill the descriptors: `python -m bench.accept_queue [--requests N]`
 
-One real process at a time under 96 descriptors, whose door is sifted or not; the crowd connects, says nothing and
-comes again when it is shut.
+One real process at a time under 96 descriptors, with and without shedding at accept; the crowd connects, says nothing
+and comes again when it is shut.
 """
 
 from __future__ import annotations
@@ -21,9 +21,9 @@
 
 LIMIT = 96
 CROWDS = (20, 60, 200, 800)
-UNSIFTED = (f'exec {sys.executable} -c "import gateusher.listeners.http as http, runpy; http.SIFT_S = 1e9; '
+LET_IN = (f'exec {sys.executable} -c "import gateusher.listeners.http as http, runpy; http.SHED_AFTER_S = 1e9; '
             "runpy.run_module('gateusher', run_name='__main__')\"")
-DOORS = {"let in, each for 0.1 s": UNSIFTED, "sifted": RUN}
+WAYS = {"let in, each for 0.1 s": LET_IN, "shed at accept": RUN}
 
 
 async def play(run_it: str, size: int, requests: int) -> tuple[list[float], int]:
@@ -56,12 +56,12 @@
 @click.command(help="A request behind a crowd of idle clients that fill the descriptors.")
 @click.option("--requests", default=60, show_default=True, help="Of each row.")
 def main(requests: int) -> None:
-    print("| idle clients | door | answered after, s: median | most | shut unread |\n|---|---|---|---|---|")
+    print("| idle clients | silent ones | answered after, s: median | most | shut unread |\n|---|---|---|---|---|")
     for size in CROWDS:
-        for door, run_it in DOORS.items():
+        for way, run_it in WAYS.items():
             with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
                 took, shut = runner.run(play(run_it, size, requests))
-            print(f"| {size} | {door} | {median(took):.3f} | {max(took):.3f} | {shut} of {requests} |", flush=True)
+            print(f"| {size} | {way} | {median(took):.3f} | {max(took):.3f} | {shut} of {requests} |", flush=True)
 
 
 if __name__ == "__main__":
--- a/gateusher/listeners/http.py
+++ b/gateusher/listeners/http.py
@@ -43,7 +43,7 @@
 NEW_S, STUCK_S = 0.1, 0.5    # where room is short: a silent connection, and half a request, go after that
 BACKLOG = 1024
 ACCEPT_PAUSE_S = 0.05
-SIFT_S = 0.1                 # how long somebody waits at the door where silent clients fill the table
+SHED_AFTER_S = 0.1           # so long may the accept queue be behind where silent clients fill the table
 STOP_LISTENING_S = 0.55      # after SIGTERM: new connections come for 0.4 s
 GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 FORMER_S = 1.3              # after new settings: clients go by them 1.2 s later
@@ -592,7 +592,7 @@
         self.phases = Phases()
         self._end_s = END_S
         self._accepting = False
-        self._queued_since = inf             # since when somebody waits at the door who found no room
+        self._queued_since = inf             # since when the accept queue has not been empty, for want of room
         self._socket: socket.socket | None = door
         if door is None:
             self._socket = socket.create_server(
@@ -635,7 +635,7 @@
                 # A descriptor is free only when its connection is gone, some turns of the loop later.  Until
                 # then nothing is accepted on its account, or a crowd comes in faster than others are closed.
                 self._queued_since = min(self._queued_since, self.loop.time())
-                if not self._reclaim() and not self._sift():
+                if not self._reclaim() and not self._shed_silent():
                     self._pause("all descriptors are in use")
                 return
             try:
@@ -662,16 +662,16 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _sift(self) -> bool:
-        """Where clients that say nothing fill the table and others wait: shut those who wait and say nothing, too.
+    def _shed_silent(self) -> bool:
+        """Shed load at accept: where silent clients fill the table, shut those in the queue that are silent, too.
 
         Who has sent something gets the place of one that never has.  It guards against a crowd that keeps
         connecting: each is let be for `NEW_S`, and behind many of them a request waited for longer than it could.
         It could harm a client that sends only a while after it has connected, and only while there is such a crowd.
-        Whether the door was sifted: not before somebody has waited for `SIFT_S`, nor where those who are in are
-        at work.  A descriptor of the spare ones is used for each in turn.
+        Whether it did: not before the queue has been behind for `SHED_AFTER_S`, nor where those who are in are at
+        work.  A descriptor of the spare ones is used for each in turn.
         """
-        if self.loop.time() - self._queued_since <= SIFT_S or not self._socket:
+        if self.loop.time() - self._queued_since <= SHED_AFTER_S or not self._socket:
             return False
         silent = sorted((c for c in self._clients if not c.used and not c.sending and c.spare(inf)),
                         key=lambda c: c.at, reverse=True)
@@ -683,8 +683,10 @@
             except BlockingIOError:
                 self._queued_since = inf
                 break
-            except OSError:
-                break
+            except OSError as error:
+                if error.errno == errno.ECONNABORTED:
+                    continue
+                return False  # out of descriptors or memory: what is left in the queue waits for a pause
             if silent and _has_sent(sock) and self._fds.take():
                 silent.pop().close()
                 self._take(sock)
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -146,7 +146,7 @@
     run(test())
 
 
-def test_who_has_asked_gets_the_place_of_a_silent_one_and_silent_ones_at_the_door_are_shut(
+def test_who_has_asked_gets_the_place_of_a_silent_one_and_silent_ones_in_the_accept_queue_are_shut(
         monkeypatch: pytest.MonkeyPatch) -> None:
     """However long a silent one might stay where nobody waits."""
     for name in ("NEW_S", "SILENT_S"):
@@ -168,8 +168,8 @@
     run(test())
 
 
-def test_where_all_who_are_in_are_at_work_a_request_waits_at_the_door(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(server_module, "SIFT_S", 0.0)
+def test_where_all_who_are_in_are_at_work_a_request_waits_in_the_queue(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(server_module, "SHED_AFTER_S", 0.0)
 
     async def test() -> None:
         go, came = asyncio.Event(), 0
@@ -434,20 +434,20 @@
     run(test())
 
 
-@pytest.mark.parametrize("sifted", [False, True], ids=["all let in", "sifted at the door"])
-def test_a_crowd_never_takes_more_descriptors_than_there_are(sifted: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+@pytest.mark.parametrize("shed", [False, True], ids=["all let in", "shed at accept"])
+def test_a_crowd_never_takes_more_descriptors_than_there_are(shed: bool, monkeypatch: pytest.MonkeyPatch) -> None:
     """They come at once and all may be closed for one another, but a close takes its time.
 
-    Where the door is sifted, those who were shut there come to the same number with those who were let in.
+    Where the silent are shed at accept, they come to the same number with those who were let in.
     """
     monkeypatch.setattr(server_module, "NEW_S", 0.0)
-    monkeypatch.setattr(server_module, "SIFT_S", -1.0 if sifted else 2.0 * HANG_S)
-    at_door: list[bool] = []
+    monkeypatch.setattr(server_module, "SHED_AFTER_S", -1.0 if shed else 2.0 * HANG_S)
+    at_accept: list[bool] = []
     has_sent = server_module._has_sent
 
     def looked(sock: socket.socket) -> bool:
-        at_door.append(has_sent(sock))
-        return at_door[-1]
+        at_accept.append(has_sent(sock))
+        return at_accept[-1]
 
     monkeypatch.setattr(server_module, "_has_sent", looked)
 
@@ -467,11 +467,11 @@
             crowd = await asyncio.gather(*(r.connect() for _ in range(60)))
             head, _ = await r.ask(look())
             assert status(head) == 200
-            assert len(most) + at_door.count(False) >= 61
-            assert bool(at_door) == sifted
+            assert len(most) + at_accept.count(False) >= 61
+            assert bool(at_accept) == shed
             assert max(used) <= server._fds.most
             # Who has asked comes in beside one whose close is under way.
-            assert max(most) <= server._fds.most_clients + at_door.count(True)
+            assert max(most) <= server._fds.most_clients + at_accept.count(True)
             for _, writer in crowd:
                 writer.close()
     run(test())
