--- a/bench/accept_queue.py
+++ b/bench/accept_queue.py
@@ -53,6 +53,30 @@
     return took, shut
 
 
+async def back(size: int, away_s: float) -> float:
+    """Seconds from discovery's return, after so many seconds of refused calls, until the list is watched again."""
+    hosts = [host("e0", 1)]
+    discovery = Discovery(hosts)
+    await discovery.start()
+    with tempfile.TemporaryDirectory(prefix="gateusher-") as folder:
+        async with daemon(Path(folder), hosts, discovery.port, RUN, LIMIT, sockets=LIMIT) as d:
+            await up(d.process, d.where)
+            await discovery.watched.wait()
+            crowd = Crowd(d.where, size)
+            await asyncio.sleep(0.5)
+            discovery.server.close()
+            discovery.cut()
+            await asyncio.sleep(away_s)
+            again = Discovery(hosts, seq=2)
+            await again.start(("127.0.0.1", discovery.port))
+            began = time.monotonic()
+            await again.watched.wait()
+            took = time.monotonic() - began
+            crowd.close()
+    again.server.close()
+    return took
+
+
 @click.command(help="A request behind a crowd of idle clients that fill the descriptors.")
 @click.option("--requests", default=60, show_default=True, help="Of each row.")
 def main(requests: int) -> None:
@@ -64,5 +88,12 @@
             print(f"| {size} | {way} | {median(took):.3f} | {max(took):.3f} | {shut} of {requests} |", flush=True)
 
 
+    print("\n| idle clients | watched again after discovery was away for 1 to 8 s, s: median | most |\n|---|---|---|")
+    for size in (0, CROWDS[-1]):
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            waits = [runner.run(back(size, away_s)) for away_s in range(1, 9)]
+        print(f"| {size} | {median(waits):.2f} | {max(waits):.2f} |", flush=True)
+
+
 if __name__ == "__main__":
     main()
