Fleet windows, the crowded daemon and the checker's commands: one piece of code each

Fall multiple and window stand once. - A daemon with a crowd at its door was set up in two tests and twice in bench/accept_queue.py: process.crowded.

--- a/bench/accept_queue.py
+++ b/bench/accept_queue.py
@@ -17,7 +17,7 @@
 import uvloop
 
 from tests.net import Discovery, Endpoint, host
-from tests.standing.process import RUN, Crowd, daemon, up
+from tests.standing.process import RUN, crowded
 
 LIMIT = 96
 CROWDS = (20, 60, 200, 800)
@@ -30,15 +30,11 @@
     """Seconds until each request was answered, and how many were not: their connections were shut unread."""
     endpoint = Endpoint()
     await endpoint.start()
-    hosts = [host("e0", endpoint.port)]
-    discovery = Discovery(hosts)
+    discovery = Discovery([host("e0", endpoint.port)])
     await discovery.start()
     took, shut = list[float](), 0
     with tempfile.TemporaryDirectory(prefix="gateusher-") as folder:
-        async with daemon(Path(folder), hosts, discovery.port, run_it, LIMIT, sockets=LIMIT) as d:
-            await up(d.process, d.where)
-            await discovery.watched.wait()
-            crowd = Crowd(d.where, size)
+        async with crowded(Path(folder), discovery, size, run_it, LIMIT, sockets=LIMIT) as (d, _):
             await asyncio.sleep(1.0)
             for i in range(requests):
                 began = time.monotonic()
@@ -47,7 +43,6 @@
                     took.append(time.monotonic() - began)
                 except (ConnectionError, asyncio.IncompleteReadError):
                     shut += 1
-            crowd.close()
     for server in (endpoint.server, discovery.server):
         server.close()
     return took, shut
@@ -55,24 +50,19 @@
 
 async def back(size: int, away_s: float) -> float:
     """Seconds from discovery's return, after so many seconds of refused calls, until the list is watched again."""
-    hosts = [host("e0", 1)]
-    discovery = Discovery(hosts)
+    discovery = Discovery([host("e0", 1)])
     await discovery.start()
+    again = Discovery(discovery.hosts, seq=2)
     with tempfile.TemporaryDirectory(prefix="gateusher-") as folder:
-        async with daemon(Path(folder), hosts, discovery.port, RUN, LIMIT, sockets=LIMIT) as d:
-            await up(d.process, d.where)
-            await discovery.watched.wait()
-            crowd = Crowd(d.where, size)
+        async with crowded(Path(folder), discovery, size, RUN, LIMIT, sockets=LIMIT):
             await asyncio.sleep(0.5)
             discovery.server.close()
             discovery.cut()
             await asyncio.sleep(away_s)
-            again = Discovery(hosts, seq=2)
             await again.start(("127.0.0.1", discovery.port))
             began = time.monotonic()
             await again.watched.wait()
             took = time.monotonic() - began
-            crowd.close()
     again.server.close()
     return took
 
--- a/bench/crowd.py
+++ b/bench/crowd.py
@@ -10,10 +10,9 @@
 from concurrent.futures import ProcessPoolExecutor
 from functools import partial
 
-from tests.crowd import Crowd
+from tests.crowd import FALL_MS, FALL_MULTIPLE, Crowd
 
 CLIENTS, BOXES, ZONE, SEEDS = 200, 120, range(1, 41), range(1, 21)
-FALL_MS, FALL_MULTIPLE = 1500.0, 2.5
 
 
 def start(seed: int, list_rate: float, dead: int) -> tuple[int, int, float, float]:
@@ -39,7 +38,7 @@
     boxes = [crowd.boxes[eid] for eid in ZONE]
     windows = [box.worst_window(FALL_MS) / FALL_MULTIPLE for box in boxes]
     told = [box.worst_window(FALL_MS, 9000 + 1.5 * (told_after or 0.0)) / FALL_MULTIPLE for box in boxes]
-    used = [sum(work for _, work in box.asked) / (box.warm_within * (1 + box.share) / 2) for box in boxes]
+    used = [sum(each.work for each in box.asked) / (box.warm_within * (1 + box.share) / 2) for box in boxes]
     return max(windows), max(told), statistics.fmean(windows), statistics.fmean(used)
 
 
--- a/checker/__main__.py
+++ b/checker/__main__.py
@@ -273,17 +273,16 @@
 
 def _pure(commands: Any) -> None:
     """The machines without a loop."""
-    three = commands.add_parser("members", help="every order for three members, breadth first")
-    three.add_argument("--states", type=int, default=20000)
-    three.set_defaults(run=members)
-    quorum = commands.add_parser("duties", help="every order for three voters and two candidates, and long walks")
-    quorum.add_argument("--states", type=int, default=20000)
-    quorum.add_argument("--walks", type=int, default=2000)
-    quorum.set_defaults(run=duties)
-    lists = commands.add_parser("calls", help="every order for the calls for the list, breadth first, and long walks")
-    lists.add_argument("--states", type=int, default=60000)
-    lists.add_argument("--walks", type=int, default=1000)
-    lists.set_defaults(run=calls)
+    def searched(name: str, about: str, run: Any, states: int, walks: int = 0) -> None:
+        command = commands.add_parser(name, help=about)
+        command.add_argument("--states", type=int, default=states)
+        if walks:
+            command.add_argument("--walks", type=int, default=walks)
+        command.set_defaults(run=run)
+
+    searched("members", "every order for three members, breadth first", members, 20000)
+    searched("duties", "every order for three voters and two candidates, and long walks", duties, 20000, 2000)
+    searched("calls", "every order for the calls for the list, breadth first, and long walks", calls, 60000, 1000)
 
 
 def main(words: Iterable[str] | None = None) -> int:
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -9,13 +9,15 @@
 import heapq
 from bisect import bisect_right
 from collections import Counter, deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from random import Random
+from typing import NamedTuple
 
 from gateusher.policy.brain import Balancer
 from gateusher.policy.interface import (AttemptEnded, ClassSettings, Effect, Endpoint, Fail, ListKind, ListNews,
                                         Outcome, Refuse, Request, Send, SetTimer, Settings, State, TimerFired, Watch)
 
+FALL_MS, FALL_MULTIPLE = 1500.0, 2.5   # a cold server falls beyond so many times what it can do, for so long
 WAY = 0.5      # one way between a client and a server
 DIAL = 250.0   # until a dial to a server that is not there fails
 CLASSES = (ClassSettings(Effect.SAFE, aim_ms=640, deadline_ms=1670, worth=1),
@@ -52,6 +54,23 @@
         return max((bisect_right(self.calls, t + 1000.0) - i for i, t in enumerate(self.calls)), default=0)
 
 
+class Arrival(NamedTuple):
+    """A request that has come to a cold server: when, its work in ms, and whether its sender knew of the start."""
+
+    at: float
+    work: float
+    told: bool
+
+
+class Window(NamedTuple):
+    """What came within some time: requests, those of the told, work in ms; and what could be done at its start."""
+
+    sent: int
+    told: int
+    work: float
+    able: float
+
+
 class Box:
     """A server: one request at a time, `places` that wait.
 
@@ -62,8 +81,7 @@
                  warm_within: float = 8800.0, kind: int = 0) -> None:
         self.eid, self.mean, self.places, self.kind = eid, mean, places, kind
         self.share, self.warm_within, self.cold_from = share, warm_within, -1e12
-        self.asked: list[tuple[float, float]] = []   # while cold: when, and how much work in ms
-        self.by_told: list[bool] = []                # for each of these: whether its sender knew of the start
+        self.asked: list[Arrival] = []   # while cold
         self.waiting: deque[tuple[Callable[[], None], float]] = deque()
         self.busy = False
         self.up = True
@@ -72,17 +90,20 @@
         """The part of its usual work that it can do now."""
         return min(1.0, self.share + (1.0 - self.share) * (now - self.cold_from) / self.warm_within)
 
-    def worst_window(self, window: float, since: float = 0.0) -> float:
-        """The most work asked of it in a window of so many ms, over what it could do at the window's start."""
-        worst, first, total = 0.0, 0, 0.0
-        asked = [each for each in self.asked if each[0] >= since]
-        for at, work in asked:
-            total += work
-            while asked[first][0] < at - window:
-                total -= asked[first][1]
+    def windows(self, length: float, since: float = 0.0) -> Iterator[Window]:
+        """For each request to it while cold: the window of so many ms that ends there."""
+        first, told, work = 0, 0, 0.0
+        asked = [each for each in self.asked if each.at >= since]
+        for last, each in enumerate(asked):
+            told, work = told + each.told, work + each.work
+            while asked[first].at < each.at - length:
+                told, work = told - asked[first].told, work - asked[first].work
                 first += 1
-            worst = max(worst, total / (self.able(max(self.cold_from, at - window)) * window))
-        return worst
+            yield Window(last - first + 1, told, work, self.able(max(self.cold_from, each.at - length)))
+
+    def worst_window(self, length: float, since: float = 0.0) -> float:
+        """The most work asked of it in a window of so many ms, over what it could do at the window's start."""
+        return max((w.work / (w.able * length) for w in self.windows(length, since)), default=0.0)
 
 
 class Crowd:
@@ -104,7 +125,7 @@
         self.surge, self.rid = 1.0, 0
         self.knows: set[tuple[int, int]] = set()   # (client, server): it was told of the server's last start
         conf = {"max_attempts": 6, "idle_ms": 15000.0, "report_fields": ("waiting",), "clients": clients,
-                "cold_share": 0.3, "warm_within_ms": 8800.0, "fall_multiple": 2.5, "fall_ms": 1500.0,
+                "cold_share": 0.3, "warm_within_ms": 8800.0, "fall_multiple": FALL_MULTIPLE, "fall_ms": FALL_MS,
                 "must_ask": True, "kinds": 2, **more}
         self.clients = [Balancer(Settings(classes=CLASSES, index=i, **conf), seed * 1000 + i)  # type: ignore[arg-type]
                         for i in range(clients)]
@@ -185,8 +206,7 @@
 
         def come() -> None:
             if box.up and able < 1.0:
-                box.asked.append((self.now, box.mean))
-                box.by_told.append(known_cold)
+                box.asked.append(Arrival(self.now, box.mean, known_cold))
             if not box.up:
                 self.later(DIAL - WAY, lambda: end(Outcome.CONNECT_FAILED))
             elif box.busy and len(box.waiting) >= box.places:
--- a/tests/ramp.py
+++ b/tests/ramp.py
@@ -12,9 +12,9 @@
 from random import Random
 from typing import NamedTuple
 
-from .crowd import Box, Crowd
+from .crowd import FALL_MS, FALL_MULTIPLE, Box, Crowd
 
-FALL_MS, FALL_MULTIPLE, MEAN_MS = 1500.0, 2.5, 33.0
+MEAN_MS = 33.0
 SIZES = {6: 12, 20: 20, 30: 24, 200: 120}   # clients, and servers beside them
 SLOWER = 2.0                                # every second server is of a kind that takes so many times as long
 LOADS = {"ordinary": (0.7, 1.5), "full": (1.0, 2.0)}   # of what all can do while all are warm; times, as they return
@@ -42,25 +42,13 @@
     used: float
 
 
-def windows(box: Box) -> list[tuple[int, int, float]]:
-    """For each request to it while cold: requests in the window that ends there, those of the told, and N."""
-    found, first, told = list[tuple[int, int, float]](), 0, 0
-    for last, (at, _) in enumerate(box.asked):
-        told += box.by_told[last]
-        while box.asked[first][0] <= at - FALL_MS:
-            told -= box.by_told[first]
-            first += 1
-        able = box.able(max(box.cold_from, at - FALL_MS))
-        found.append((last - first + 1, told, FALL_MULTIPLE * able * FALL_MS / box.mean))
-    return found
-
-
 def judge(boxes: list[Box]) -> Worst:
     """What came to these while they were cold."""
     told = most = 0.0
     beyond = broken = count = 0
     for box in boxes:
-        for sent, known, allowed in windows(box):
+        for sent, known, _, able in box.windows(FALL_MS):
+            allowed = FALL_MULTIPLE * able * FALL_MS / box.mean
             part = sent / (allowed + 2 * sqrt(allowed) + 2)
             most, count, beyond = max(most, part), count + 1, beyond + (sent > allowed)
             if known > 2 * sent / 3:
--- a/tests/standing/process.py
+++ b/tests/standing/process.py
@@ -9,7 +9,7 @@
 from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 
-from ..net import configuration, look, read_message, unused
+from ..net import Discovery, configuration, look, read_message, unused
 from ..test_sockets import ROOT, status
 
 DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
@@ -114,3 +114,17 @@
         if process.returncode is None:
             process.kill()
         await process.wait()
+
+
+@asynccontextmanager
+async def crowded(folder: Path, discovery: Discovery, size: int, run_it: str = RUN, hard: int = 1024,
+                  **limits: float) -> AsyncIterator[tuple[Process, Crowd]]:
+    """A daemon that follows this discovery, which has been started, and idle clients that fill their part of it."""
+    async with daemon(folder, discovery.hosts, discovery.port, run_it, hard, **limits) as d:
+        await up(d.process, d.where)
+        await discovery.watched.wait()
+        crowd = Crowd(d.where, size)
+        try:
+            yield d, crowd
+        finally:
+            crowd.close()
--- a/tests/standing/test_full.py
+++ b/tests/standing/test_full.py
@@ -3,7 +3,6 @@
 import asyncio
 import signal
 import sys
-from contextlib import suppress
 from pathlib import Path
 
 import pytest
@@ -13,7 +12,7 @@
 from ..helpers import HANG_S, until
 from ..net import Discovery, Endpoint, Writer, host, unused
 from ..test_sockets import run
-from .process import RUN, Crowd, Process, daemon, up
+from .process import RUN, Process, crowded, daemon
 
 LIMIT = 96
 CROWD = 2 * LIMIT      # idle clients at any time
@@ -28,49 +27,40 @@
     return endpoint
 
 
-async def _served(d: Process) -> bool:
-    """Whether a request was answered; where there is a crowd its connection may be shut unread."""
+async def _answered(d: Process) -> bytes:
+    """The head of an answer; nothing where the connection was shut unread, as it may be beside a crowd."""
     try:
-        return bool(await d.named("a"))
+        return await d.named("a")
     except (ConnectionError, asyncio.IncompleteReadError):
-        return False
+        return b""
 
 
 async def _filled_while_discovery_is_away(folder: Path, run_it: str = RUN) -> None:
     old, new = await _named("old"), await _named("new")
-    hosts = [host("e0", old.port)]
-    first = Discovery(hosts)
+    first = Discovery([host("e0", old.port)])
     await first.start()
-    async with daemon(folder, hosts, first.port, run_it, LIMIT, sockets=LIMIT) as d:
-        await up(d.process, d.where)
-        await first.watched.wait()
-        crowd = Crowd(d.where, CROWD)
+    async with crowded(folder, first, CROWD, run_it, LIMIT, sockets=LIMIT) as (d, crowd):
         operators = [await asyncio.open_connection(*d.admin) for _ in range(16)]
-        try:
-            await until(lambda: d.descriptors >= Descriptors(LIMIT).most_clients)
-            first.server.close()
-            first.cut()
-            refused = asyncio.Event()
-            away = await asyncio.start_server(lambda _, writer: (refused.set(), writer.transport.abort()),
-                                              "127.0.0.1", first.port)
-            await refused.wait()                      # it has called in vain
-            await until(lambda: min(crowd.shut) > 0)  # each new one had its turn: none is left hanging
-            away.close()
-            second = Discovery([host("e0", old.port, "Terminating"), host("e1", new.port)], seq=2)
-            await second.start(("127.0.0.1", first.port))
-            await second.watched.wait()
-            name = b""
-            while b"x-name: new" not in name:  # the list is read a moment after it was written
-                with suppress(ConnectionError, asyncio.IncompleteReadError):  # shut unread: there is a crowd
-                    name = await d.named("a")
-            await d.ready()
-            for _, writer in operators:
-                writer.close()
-            d.process.send_signal(signal.SIGTERM)
-            crowd.close()
-            assert await d.process.wait() == 0
-        finally:
-            crowd.close()
+        await until(lambda: d.descriptors >= Descriptors(LIMIT).most_clients)
+        first.server.close()
+        first.cut()
+        refused = asyncio.Event()
+        away = await asyncio.start_server(lambda _, writer: (refused.set(), writer.transport.abort()),
+                                          "127.0.0.1", first.port)
+        await refused.wait()                      # it has called in vain
+        await until(lambda: min(crowd.shut) > 0)  # each new one had its turn: none is left hanging
+        away.close()
+        second = Discovery([host("e0", old.port, "Terminating"), host("e1", new.port)], seq=2)
+        await second.start(("127.0.0.1", first.port))
+        await second.watched.wait()
+        while b"x-name: new" not in await _answered(d):  # the list is read a moment after it was written
+            pass
+        await d.ready()
+        for _, writer in operators:
+            writer.close()
+        d.process.send_signal(signal.SIGTERM)
+        crowd.close()
+        assert await d.process.wait() == 0
     assert d.process.stderr
     said = await d.process.stderr.read()
     assert b"Traceback" not in said
@@ -119,26 +109,20 @@
                                                 tmp_path: Path) -> None:
     async def test() -> None:
         endpoint = await _named("e0")
-        hosts = [host("e0", endpoint.port)]
-        discovery = Discovery(hosts)
+        discovery = Discovery([host("e0", endpoint.port)])
         await discovery.start()
-        async with daemon(tmp_path, hosts, discovery.port, hard=hard, **limits) as d:
-            await up(d.process, d.where)
-            await discovery.watched.wait()
-            crowd = Crowd(d.where, 64)
+        async with crowded(tmp_path, discovery, 64, hard=hard, **limits) as (d, crowd):
             operators = [await asyncio.open_connection(*d.admin) for _ in range(16)]
-            try:
-                await until(lambda: min(crowd.shut) > 0)
-                while not await _served(d):
-                    pass
-                discovery.cut()
-                discovery.watched.clear()
-                await discovery.watched.wait()
-                await d.ready()
-            finally:
-                crowd.close()
-                for _, writer in operators:
-                    writer.close()
+            await until(lambda: min(crowd.shut) > 0)
+            while not await _answered(d):
+                pass
+            discovery.cut()
+            discovery.watched.clear()
+            await discovery.watched.wait()
+            await d.ready()
+            crowd.close()
+            for _, writer in operators:
+                writer.close()
             d.process.send_signal(signal.SIGTERM)
             assert await d.process.wait() == 0
             assert d.process.stderr
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from bench.crowd import BOXES, CLIENTS, FALL_MULTIPLE, FALL_MS
+from bench.crowd import BOXES, CLIENTS
 from gateusher.policy.brain import Balancer
 from gateusher.policy.records import Server
 
-from .crowd import Crowd
+from .crowd import FALL_MS, FALL_MULTIPLE, Crowd
 from .ramp import WAYS, play
 
 
@@ -66,7 +66,7 @@
     told = 9000 + 1.5 * (told_after or 0.0)
     worst = max(crowd.boxes[eid].worst_window(FALL_MS, told) for eid in zone)
     assert worst / FALL_MULTIPLE < most  # none is pushed over
-    used = sum(sum(work for _, work in crowd.boxes[eid].asked) for eid in zone)
+    used = sum(sum(each.work for each in crowd.boxes[eid].asked) for eid in zone)
     room = sum(5000.0 * (crowd.boxes[eid].able(9000.0) + crowd.boxes[eid].able(14000.0)) / 2 for eid in zone)
     assert used > 0.6 * room             # and they are used while the others are full, or they would stay cold
 
