Failing tests: a log that nobody reads, SIGHUP in the start, a drain told while stopped

A full pipe behind stderr blocks the loop at the next line of the log, so that nothing is answered any more. SIGHUP before the signal mask is set ends the process (-1), a failed start.

--- a/tests/standing/process.py
+++ b/tests/standing/process.py
@@ -5,7 +5,7 @@
 import os
 import sys
 import tomllib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 
@@ -42,8 +42,16 @@
 class Process:
     """A daemon under a limit of its own."""
 
-    def __init__(self, process: asyncio.subprocess.Process, where: tuple[str, int], admin: tuple[str, int]) -> None:
-        self.process, self.where, self.admin = process, where, admin
+    def __init__(self, process: asyncio.subprocess.Process, where: tuple[str, int], admin: tuple[str, int],
+                 config: Path) -> None:
+        self.process, self.where, self.admin, self.config = process, where, admin, config
+
+    async def says(self, what: bytes) -> bytes:
+        """The next line of its log that holds this."""
+        assert self.process.stderr
+        while what not in (line := await self.process.stderr.readline()):
+            assert line, f"it ended without a word of {what!r}"
+        return line
 
     @property
     def descriptors(self) -> int:
@@ -97,19 +105,20 @@
 
 @asynccontextmanager
 async def daemon(folder: Path, hosts: list[dict[str, object]], discovery: int, run_it: str = RUN,
-                 hard: int = 1024, **limits: float) -> AsyncIterator[Process]:
-    """`hard` is what the kernel allows, `limits` what the settings say."""
+                 hard: int = 1024, env: Mapping[str, str] | None = None, stderr: int = asyncio.subprocess.PIPE,
+                 **limits: float) -> AsyncIterator[Process]:
+    """`hard` is what the kernel allows, `limits` what the settings say; `env` goes beside the platform's own."""
     where, admin = unused(), unused()
     path, private = folder / "config.json", folder / "private"
     private.mkdir(mode=0o700, exist_ok=True)
     path.write_text(json.dumps(configuration(hosts, discovery, listen="{}:{}".format(*where),
                                              limits={"memory_mb": 192, "sockets": 256, **limits})))
     process = await asyncio.create_subprocess_exec(
-        "sh", "-c", f"ulimit -n {hard}; {run_it}", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
-        env={**os.environ, "BALANCER_CONFIG": str(path), "TMPDIR": str(private),
+        "sh", "-c", f"ulimit -n {hard}; {run_it}", cwd=ROOT, stderr=stderr,
+        env={**os.environ, **(env or {}), "BALANCER_CONFIG": str(path), "TMPDIR": str(private),
              "BALANCER_ADMIN_ADDR": "{}:{}".format(*admin), "BALANCER_DISCOVERY": f"127.0.0.1:{discovery}"})
     try:
-        yield Process(process, where, admin)
+        yield Process(process, where, admin, path)
     finally:
         if process.returncode is None:
             process.kill()
