--- a/gateusher/__main__.py
+++ b/gateusher/__main__.py
@@ -4,10 +4,14 @@
 
 import sys
 
+from .base import signals
+
 
 def main() -> int:
     """The exit code of the command that the arguments name."""
     words = sys.argv[1:]
+    if words[:1] in ([], ["run"]):
+        signals.hold()
     if words in ([], ["run"]):  # the daemon loads no parser of arguments: its start is counted
         from .cli.run import run  # noqa: PLC0415
 
--- a/gateusher/cli/run.py
+++ b/gateusher/cli/run.py
@@ -14,6 +14,7 @@
 
 import uvloop
 
+from ..base import signals
 from ..base.limits import LEAST_DESCRIPTORS
 from ..base.log import attach, say
 from ..config import platform
@@ -23,9 +24,6 @@
 from ..handover.channel import Inherited
 
 
-SIGNALS = {signal.SIGHUP, signal.SIGTERM, signal.SIGINT}
-
-
 def load(path: str | None, env: Mapping[str, str], before: Config | None = None) -> Config:
     """A TOML file where one is named, the platform's JSON otherwise."""
     if path is None:
@@ -96,7 +94,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, sidecar.drain)
     loop.add_signal_handler(signal.SIGHUP, reload, sidecar, path, os.environ)
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
+    signals.release()
     gc.freeze()
     gc.set_threshold(20000, 20, 50)
     await sidecar.ended.wait()
@@ -106,7 +104,7 @@
 def run(path: str | None) -> int:
     """Serve until a signal ends it."""
     # One that comes before we are up waits: clients may be here already, and are owed their answers.
-    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+    signals.hold()
     attach()
     try:
         config = within_reach(load(path, os.environ))
