One place says what may be sent; unread news of the list is read before a send

Cause: a process that stood still finds requests, timers and the news of a drain in one turn of the loop, in any order (Engine._send looked at the client and the time, never at the list); what it read before the list went to an endpoint whose grace was over.

Change: policy/permission.py answers whether an attempt may be sent or a request refused, for first tries, repeats and dials that come up; engine and connections ask it.

--- /dev/null
+++ b/gateusher/base/diagnostics.py
@@ -0,0 +1,61 @@
+"""What one node has done and why: counts of reasons, the latest events by request, and rules found violated.
+
+Only what is not the ordinary path is noted: refusals, failures, repeats, attempts that were not allowed or did not
+succeed, closes.  Operators read it at `GET /_diagnostics`.
+"""
+
+from __future__ import annotations
+
+import time
+from collections import Counter, deque
+from enum import Enum
+from typing import Any, Final, NamedTuple
+
+from .log import say
+
+MOST_EVENTS: Final = 256
+
+
+class Rule(Enum):
+    """What the program asserts of itself while it runs."""
+
+    NO_REPEAT_OF_WHAT_MAY_HAVE_RUN = "an unsafe request that may have run was to be sent again"
+    NO_REFUSAL_OF_WHAT_MAY_HAVE_RUN = "an unsafe request that may have run was to be refused"
+    NO_CLOSE_WITH_ANSWERS_OWED = "a client's connection was closed with a request taken and not answered"
+
+
+class Noted(NamedTuple):
+    """One event: `at_s` on the monotonic clock, and the client's id of the request, where there is one."""
+
+    at_s: float
+    what: str
+    why: str
+    request: str
+
+
+class Diagnostics:
+    """One node's; whoever decides or closes something notes it here."""
+
+    def __init__(self) -> None:
+        self.reasons: Counter[tuple[str, str]] = Counter()
+        self.violations: Counter[Rule] = Counter()
+        self.recent: deque[Noted] = deque(maxlen=MOST_EVENTS)
+
+    def note(self, what: str, why: str, request: bytes = b"") -> None:
+        """Something happened for a reason; `request` is the client's id."""
+        self.reasons[what, why] += 1
+        self.recent.append(Noted(time.monotonic(), what, why, request.decode("latin-1")))
+
+    def violated(self, rule: Rule, request: bytes = b"") -> None:
+        """A rule would have been broken, or was; each is logged as well."""
+        self.violations[rule] += 1
+        self.note("violation", rule.name.lower(), request)
+        say("invariant violated", f"{rule.value}: request {request.decode('latin-1')!r}")
+
+    def report(self) -> dict[str, Any]:
+        """All of it as plain objects."""
+        counts: dict[str, dict[str, int]] = {}
+        for (what, why), count in sorted(self.reasons.items()):
+            counts.setdefault(what, {})[why] = count
+        return {"counts": counts, "violations": {rule.name.lower(): n for rule, n in self.violations.items()},
+                "recent": [noted._asdict() for noted in self.recent]}
--- a/gateusher/core/engine.py
+++ b/gateusher/core/engine.py
@@ -14,12 +14,14 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from ..base.clock import Clock
+from ..base.diagnostics import Diagnostics, Rule
 from ..base.limits import Bytes
 from ..base.log import say
 from ..policy import Balancer
 from ..policy.interface import (Action, AttemptEnded, Cancel, CloseIdle, Departed, Effect, Event, Fail, Outcome,
-                                Probe, Probed, Refuse, Request, Retuned, Send, SetTimer, Settings, TimerFired,
-                                Uploaded, Watch)
+                                Probe, Probed, Refuse, Request, Retuned, Scope, Send, SetTimer, Settings,
+                                TimerFired, Uploaded, Watch)
+from ..policy.permission import Denial, RequestFacts, denied, may_refuse
 from ..upstream.interface import LEAST_MS, NEVER_RAN, Attempt, Headers, Message, Reply
 from .states import ANSWERED, CONCLUDE, LEAVE, LEFT, MAKING, OPEN, REQUEST, REST, TAKE
 
@@ -33,6 +35,7 @@
 CLIENT_SEEN_MS = 50.0  # a client that was there so recently is not looked for again before something is sent for it
 STALL_MS = 20.0        # between two requests: the process may have stood still, and what is read then has waited
 BACKLOG_MS = 100.0     # and so may have what is read for so long after that
+LIST_SEEN_MS = 20.0    # what was told of endpoints is read before a send, unless that was looked at so lately
 MOST_BODY = 65536  # bytes of a request's body, whichever face it comes through
 
 
@@ -115,8 +118,8 @@
         super().__init__(call, eid, now, expires_ms, call.write_by, coming_ms)
         self.engine, self.call, self.number = engine, call, number
 
-    def wanted(self) -> bool:
-        return self.engine.wanted(self.call)
+    def permitted(self) -> bool:
+        return self.engine.permitted(self.call)
 
     def ended(self, outcome: Outcome, report: tuple[float, ...], elapsed_ms: float, reply: Reply) -> None:
         self.engine.ended(self, outcome, report, elapsed_ms, reply)
@@ -140,10 +143,12 @@
     """All requests in hand.  `methods` holds the methods that each class may use, in the order of the classes."""
 
     def __init__(self, settings: Settings, methods: tuple[frozenset[bytes], ...], seed: int, clock: Clock,
-                 timers: Timers, most_held: int, memory: Bytes) -> None:
+                 timers: Timers, most_held: int, memory: Bytes, diagnostics: Diagnostics | None = None) -> None:
         self._balancer = Balancer(settings, seed)
         self._settings, self._methods, self._clock, self._memory = settings, methods, clock, memory
         self._call_later = timers
+        self.diagnostics = diagnostics or Diagnostics()
+        self._list_seen_ms = -inf     # when what was told of endpoints was last looked at before a send
         self._most_held = most_held
         self._events: deque[Event] = deque()
         self._busy = False
@@ -281,6 +286,27 @@
             call.client_seen_ms = now
         return True
 
+    def permitted(self, call: Call) -> bool:
+        """Whether an attempt that was allowed may still be written, now that its connection is up."""
+        self._read_list(self._clock.now())
+        if call.state != OPEN or not self.wanted(call):
+            self._deny(call, Denial.CLIENT_LEFT if call.state == OPEN else Denial.OVER)
+            return False
+        return True
+
+    def _deny(self, call: Call | None, why: Denial) -> None:
+        self.diagnostics.note("not sent", why.name.lower(), call.name if call else b"")
+
+    def _read_list(self, now: float) -> None:
+        """Take up what was told of endpoints and is still unread.
+
+        A process that stood still finds requests, timers and the news of a drain in one turn of the loop, in any
+        order, and the grace of that drain may be over.  One look in LIST_SEEN_MS costs the ordinary path nothing.
+        """
+        if now - self._list_seen_ms > LIST_SEEN_MS:
+            self._list_seen_ms = now
+            self.discovery.catch_up()
+
     def _abandon(self, call: Call) -> None:
         """Nobody waits for this request any more, and the module doesn't know yet.
 
@@ -344,7 +370,9 @@
                 # later than its first byte.  It could harm where clocks tick more coarsely than the settings say.
                 window = self._settings.classes[call.cls].window_ms
                 call.write_by = attempt.sent_ms + window - self._settings.tick_ms
-        if outcome is Outcome.OK:
+        if outcome is not Outcome.OK:
+            self.diagnostics.note("attempt", outcome.name.lower(), call.name)
+        else:
             call.served = True
             if call.state == OPEN:
                 self._finish(call, CONCLUDE)
@@ -375,6 +403,8 @@
             call.client.settled(call)
 
     def _conclude(self, call: Call, final: Final) -> None:
+        self.diagnostics.note(final.ending.value, f"after {call.last.name.lower()}" if call.tries else "never sent",
+                              call.name)
         self._finish(call, CONCLUDE)
         call.client.conclude(call, final)
         self._release(call)
@@ -386,6 +416,7 @@
         which promises nothing.
         """
         if call.state == OPEN:
+            self.diagnostics.note(Ending.TIMED_OUT.value, "overdue", call.name)
             self._finish(call, CONCLUDE)
             call.client.conclude(call, Final(Ending.TIMED_OUT, None, 0.0, call.may_have_run))
             self._abandon(call)
@@ -397,28 +428,53 @@
         call = self.calls.get(rid)
         number = call.tries if call else 0
         now = self._clock.now()
+        self._read_list(now)
+        why = Denial.OVER
         if call:
             call.tries += 1
             expires = min(expires, call.deadline) if expires > 0 else call.deadline
             left = min(expires, call.write_by) - now
-            upload = call.upload
-            if upload and upload.gone:
-                left = 0.0  # what went through can't be sent again
-            if now - call.client_seen_ms > CLIENT_SEEN_MS and call.state == OPEN and not self.wanted(call):
-                self.depart(call)
-            if call.state == OPEN and number < min(call.most, self._settings.max_attempts) and left >= LEAST_MS:
-                sent = call.attempts[number] = Sent(self, call, number, eid, now, expires,
-                                                   min(coming, call.deadline))
-                if upload and not upload.done:
-                    sent.span_ms = min(left, call.patience_ms)
-                    sent.expires_ms = sent.write_by_ms = sent.coming_ms = inf
-                self.upstream.start(sent)
+            allowed = self._denied(call, number, left)
+            if allowed is None:
+                self._start(Sent(self, call, number, eid, now, expires, min(coming, call.deadline)), left)
                 return
+            why = allowed
+        self._deny(call, why)
         self.deliver(AttemptEnded(rid, number, eid, 0.0, Outcome.NOT_SENT, call is None or call.state != OPEN))
 
+    def _denied(self, call: Call, number: int, left_ms: float) -> Denial | None:
+        """Why this attempt of a call may not begin.  Whether its client is there is looked up last."""
+        upload = call.upload
+        facts = RequestFacts(call.state == OPEN, self._settings.classes[call.cls].effect, call.may_have_run, number,
+                             min(call.most, self._settings.max_attempts), left_ms, LEAST_MS,
+                             upload is not None and upload.gone)
+        why = denied(facts)
+        if why is Denial.MAY_HAVE_RUN:
+            self.diagnostics.violated(Rule.NO_REPEAT_OF_WHAT_MAY_HAVE_RUN, call.name)
+        if why is None and not self.wanted(call):
+            self.depart(call)
+            return Denial.CLIENT_LEFT
+        return why
+
+    def _start(self, sent: Sent, left_ms: float) -> None:
+        """Hand an attempt that may be sent to the connections."""
+        call, upload = sent.call, sent.call.upload
+        call.attempts[sent.number] = sent
+        if sent.number:
+            self.diagnostics.note("repeat", f"after {call.last.name.lower()}", call.name)
+        if upload and not upload.done:
+            sent.span_ms = min(left_ms, call.patience_ms)
+            sent.expires_ms = sent.write_by_ms = sent.coming_ms = inf
+        self.upstream.start(sent)
+
     def _refuse(self, action: Refuse) -> None:
         call = self.calls.get(action.request)
         if call and call.state == OPEN:
+            settings = self._settings.classes[call.cls]
+            if not may_refuse(settings.effect, call.may_have_run, settings.scope is Scope.ALL):
+                self.diagnostics.violated(Rule.NO_REFUSAL_OF_WHAT_MAY_HAVE_RUN, call.name)
+                self._conclude(call, Final(Ending.FAILED, None, 0.0, True))
+                return
             self._conclude(call, Final(Ending.REFUSED, None, self.come_back(action.retry_after_ms),
                                        call.may_have_run))
 
--- a/gateusher/core/ports.py
+++ b/gateusher/core/ports.py
@@ -26,6 +26,9 @@
     def watch(self) -> None: ...
     def stop(self) -> None: ...
 
+    def catch_up(self) -> None:
+        """Take up what the source has told and this process has not read yet."""
+
 
 class Asking(Protocol):
     """The client's side of a request, as the core sees it."""
--- a/gateusher/daemon.py
+++ b/gateusher/daemon.py
@@ -89,7 +89,8 @@
         self.admin = Admin({(b"GET", b"/_ready"): lambda: self.server.ready,
                             (b"PUT", b"/_lameduck/on"): self.server.send_away,
                             (b"PUT", b"/_lameduck/off"): self.server.take_back},
-                           {b"/_members": self._members, b"/_duties": self._duties}, self._forms(config))
+                           {b"/_members": self._members, b"/_duties": self._duties,
+                            b"/_diagnostics": self._diagnostics}, self._forms(config))
         self.members: Endpoint | None = None
         self.fellows: Fellows | None = None
         if config.membership:
@@ -153,6 +154,9 @@
                 for turn in self.turns:
                     turn.start()
 
+    def _diagnostics(self) -> bytes:
+        return json.dumps(self.node.diagnostics.report()).encode()
+
     def _members(self) -> bytes:
         return json.dumps(self.members.report() if self.members else None).encode()
 
--- a/gateusher/discovery/catalog.py
+++ b/gateusher/discovery/catalog.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import re
 import select
 from collections.abc import Callable
@@ -23,6 +24,7 @@
 LIST_S = 1.0         # a list is whole so long after its first byte, at most
 GRACE_PART = 4       # and after one part in so many of the grace that the settings give after a drain is told
 MOST_LINE = 8 << 20  # bytes of one list, far more than any
+READ_BYTES, MOST_READS = 1 << 16, 64   # of a call in one look, out of the loop's turn
 TEXT = re.compile(rb'"(?:[^"\\]|\\.)*"')
 
 
@@ -137,6 +139,11 @@
                 self._say("watch silent", f"called once more, beside {len(self._open)}")
             self._handle(Tick())
 
+    def catch_up(self) -> None:
+        """Take up now what the service has sent and the loop has not handed over yet."""
+        for call in list(self._open.values()):
+            call.read_now()
+
     def take(self, line: bytes, fresh: bool) -> None:
         """One line of a call.  A fresh whole list is taken whatever its version."""
         if self.lost_track and not fresh:
@@ -211,6 +218,19 @@
         """Something has come that the loop has not handed over yet."""
         return bool(self._transport and not self._transport.is_closing() and self._poller and self._poller.poll(0))
 
+    def read_now(self) -> None:
+        """Read what is there without waiting for the loop, which goes on behind it."""
+        for _ in range(MOST_READS):
+            if self._transport is None or not self.unread:
+                return
+            try:
+                data = os.read(self._transport.get_extra_info("socket").fileno(), READ_BYTES)
+            except OSError:
+                return  # nothing after all, or the end of the connection: the loop finds it too
+            if not data:
+                return
+            self.data_received(data)
+
     def _ask(self) -> None:
         path = "" if self._fresh else f"?watch=1&from={self._owner.seq}"
         if self._transport:
--- a/gateusher/discovery/fixed.py
+++ b/gateusher/discovery/fixed.py
@@ -45,5 +45,8 @@
     def stop(self) -> None:
         """Nothing is followed."""
 
+    def catch_up(self) -> None:
+        """Nothing is ever unread."""
+
     def sweep(self) -> None:
         """Nothing can fall silent."""
--- a/gateusher/node.py
+++ b/gateusher/node.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from .base.clock import Clock
+from .base.diagnostics import Diagnostics
 from .base.limits import Bytes, Descriptors, Pool
 from .base.log import say
 from .config.classes import Classes, Kind
@@ -49,10 +50,11 @@
         self.memory = Bytes(_bodies(config.memory_mb), memory)
         self.descriptors = Descriptors(config.sockets, sockets)
         self.settings = settings = config.settings
+        self.diagnostics = Diagnostics()
         self.engine = Engine(settings, config.methods, config.seed, self.clock, self.loop.call_later,
-                             config.most_held, self.memory)
+                             config.most_held, self.memory, self.diagnostics)
         self.upstream = Upstream(settings, config.serves, self.clock, self.memory, self.descriptors,
-                                 reader(settings.report_fields))
+                                 reader(settings.report_fields), self.diagnostics)
         self.on_news: Callable[[ListNews], None] | None = None   # told of the list beside the decisions
         news: Callable[[ListNews], None] = self._news
         update: Callable[[list[HostLine], bool], None] = self.upstream.update
--- a/gateusher/upstream/http.py
+++ b/gateusher/upstream/http.py
@@ -14,8 +14,10 @@
 
 import httptools
 from ..policy.interface import Outcome, Settings, State
+from ..policy.permission import Denial, endpoint_denied
 
 from ..base.clock import Clock
+from ..base.diagnostics import Diagnostics
 from ..discovery.lists import HostLine
 from ..base.limits import Bytes, Descriptors
 from ..base.log import say
@@ -139,14 +141,18 @@
     def _overtaken(self, attempt: Attempt) -> bool:
         """Whether what was decided when the dial began no longer holds now that it is up.
 
-        A window or a deadline ran out in this very turn of the loop, before its timer was called; the endpoint
-        was told to drain, or has moved; it was started anew, and this would be a request to a cold process that its
-        budget knows nothing of; or the client has left, and its end is still to be read.  It could harm where a list
-        flaps faster than connections come up.
+        Whoever asks is looked at first, since that reads what was told of endpoints meanwhile.
         """
+        if not attempt.permitted():
+            return True
         host = self.host
-        return (attempt.write_by_ms - self._up.clock.now() < LEAST_MS or not (host.ready or attempt.to_any)
-                or host.born_ms != self.born_ms or (host.ip, host.port) != self.where or not attempt.wanted())
+        unchanged = host.born_ms == self.born_ms and (host.ip, host.port) == self.where
+        why = endpoint_denied(host.ready or attempt.to_any, unchanged)
+        if attempt.write_by_ms - self._up.clock.now() < LEAST_MS:
+            why = Denial.NO_TIME_LEFT
+        if why:
+            self._up.diagnostics.note("not sent", why.name.lower())
+        return why is not None
 
     # -- a body that is still coming
 
@@ -581,8 +587,10 @@
     """All endpoints, and all connections to them."""
 
     def __init__(self, settings: Settings, serves: frozenset[int], clock: Clock, memory: Bytes,
-                 descriptors: Descriptors, read_report: Callable[[bytes], tuple[float, ...]]) -> None:
+                 descriptors: Descriptors, read_report: Callable[[bytes], tuple[float, ...]],
+                 diagnostics: Diagnostics | None = None) -> None:
         self.clock, self.memory = clock, memory
+        self.diagnostics = diagnostics or Diagnostics()
         self.serves = serves.__contains__
         self._fds, self._read_report = descriptors, read_report
         self.loop = asyncio.get_running_loop()
--- a/gateusher/upstream/interface.py
+++ b/gateusher/upstream/interface.py
@@ -123,8 +123,8 @@
         """The last byte is in the kernel's hands: from here on it may have run."""
         return self.state == SENT
 
-    def wanted(self) -> bool:
-        """Whether anybody still waits for it, looked at now: asked just before something is written."""
+    def permitted(self) -> bool:
+        """Whether it may still be sent for whoever asks, looked at now: asked just before something is written."""
         return True
 
     @abstractmethod
