Failing tests: the accept queue at the end, and its time in the deadline

Three real processes, accept failing through a preloaded library or the process stopped over its whole end; all three fail (connection reset; connection reset; 0.597 s told where 0.2 are left).

--- a/tests/standing/process.py
+++ b/tests/standing/process.py
@@ -106,13 +106,15 @@
 @asynccontextmanager
 async def daemon(folder: Path, hosts: list[dict[str, object]], discovery: int, run_it: str = RUN,
                  hard: int = 1024, env: Mapping[str, str] | None = None, stderr: int = asyncio.subprocess.PIPE,
-                 **limits: float) -> AsyncIterator[Process]:
+                 settings: Mapping[str, object] | None = None, **limits: float) -> AsyncIterator[Process]:
     """`hard` is what the kernel allows, `limits` what the settings say; `env` goes beside the platform's own."""
     where, admin = unused(), unused()
     path, private = folder / "config.json", folder / "private"
     private.mkdir(mode=0o700, exist_ok=True)
-    path.write_text(json.dumps(configuration(hosts, discovery, listen="{}:{}".format(*where),
-                                             limits={"memory_mb": 192, "sockets": 256, **limits})))
+    conf = configuration(hosts, discovery, listen="{}:{}".format(*where),
+                         limits={"memory_mb": 192, "sockets": 256, **limits})
+    conf["settings"].update(settings or {})
+    path.write_text(json.dumps(conf))
     process = await asyncio.create_subprocess_exec(
         "sh", "-c", f"ulimit -n {hard}; {run_it}", cwd=ROOT, stderr=stderr,
         env={**os.environ, **(env or {}), "BALANCER_CONFIG": str(path), "TMPDIR": str(private),
--- a/tests/standing/test_faults.py
+++ b/tests/standing/test_faults.py
@@ -4,20 +4,21 @@
 import fcntl
 import os
 import signal
-from collections.abc import Iterator
-from contextlib import suppress
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 
 import pytest
 
+from gateusher.listeners.http import STOP_LISTENING_S
 from gateusher.standins.nodes import Fleet, Node
 from gateusher.standins.wire import Catalog
-from rig.soak.faults import FaultPage, build
+from rig.soak.faults import ALL, FaultPage, SystemCall, build
 
 from ..helpers import until
 from ..net import Discovery, Endpoint, host, look, read_message
 from ..test_sockets import run, status
-from .process import daemon, up
+from .process import Process, daemon, up
 
 
 @pytest.fixture
@@ -132,3 +133,94 @@
 def test_what_waited_beside_the_news_of_a_drain_goes_by_that_news(tmp_path: Path) -> None:
     """A stopped process finds requests and a drain unread: whichever it reads first, none goes to what drains."""
     run(_drained_while_it_stood_still(tmp_path))
+
+
+# -- the accept queue
+
+Line = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+SHORT_LANES = [{"name": "look", "effect": "idempotent", "objective_ms": 300, "give_up_ms": 400, "worth": 1}]
+
+
+async def _sent(d: Process, count: int, deadline: str) -> list[Line]:
+    """Requests on connections of their own, written and not yet answered."""
+    lines = [await asyncio.open_connection(*d.where) for _ in range(count)]
+    for number, (_, writer) in enumerate(lines):
+        writer.write(look(f"queued-{number}", deadline))
+    return lines
+
+
+async def _answers(lines: list[Line]) -> list[int]:
+    """The status on each connection; none may end without one."""
+    found = []
+    for reader, writer in lines:
+        found.append(status((await read_message(reader))[0]))
+        writer.close()
+    return found
+
+
+async def _health(d: Process) -> int:
+    reader, writer = await asyncio.open_connection(*d.where)
+    writer.write(b"GET /_health HTTP/1.1\r\nHost: o\r\n\r\n")
+    head, _ = await read_message(reader)
+    writer.close()
+    return status(head)
+
+
+@asynccontextmanager
+async def served(folder: Path, page: FaultPage, lanes: object = None) -> AsyncIterator[tuple[Process, Endpoint]]:
+    """A daemon whose system calls can be made to fail, with one endpoint and discovery."""
+    endpoint = Endpoint()
+    await endpoint.start()
+    discovery = Discovery([host("e0", endpoint.port)])
+    await discovery.start()
+    more = {"lanes": lanes} if lanes else {}
+    async with daemon(folder, discovery.hosts, discovery.port, env=page.environment, settings=more) as d:
+        await up(d.process, d.where)
+        await discovery.watched.wait()
+        yield d, endpoint
+    for server in (endpoint.server, discovery.server):
+        server.close()
+
+
+def test_at_the_planned_end_the_accept_queue_is_served_though_accept_fails(page: FaultPage, tmp_path: Path) -> None:
+    """Accept fails from before SIGTERM until after the moment at which nobody new is waited for."""
+    async def story() -> None:
+        async with served(tmp_path, page) as (d, _):
+            page.set(SystemCall.ACCEPT, ALL)
+            lines = await _sent(d, 8, "1.9")
+            d.process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(STOP_LISTENING_S + 0.3)
+            page.clear()
+            assert set(await _answers(lines)) <= {200, 503, 504}
+            assert await d.process.wait() == 0
+    run(story())
+
+
+def test_who_waits_in_the_queue_of_a_process_stopped_over_its_whole_end_is_answered(page: FaultPage,
+                                                                                    tmp_path: Path) -> None:
+    async def story() -> None:
+        async with served(tmp_path, page, SHORT_LANES) as (d, _):
+            d.process.send_signal(signal.SIGTERM)
+            while await _health(d) == 200:
+                pass
+            d.process.send_signal(signal.SIGSTOP)
+            lines = await _sent(d, 8, "0.3")
+            await asyncio.sleep(1.2)    # the end is 0.8 s long and gives up 0.2 s after it
+            d.process.send_signal(signal.SIGCONT)
+            assert set(await _answers(lines)) <= {503, 504}
+            assert await d.process.wait() == 0
+    run(story())
+
+
+def test_time_in_the_accept_queue_is_taken_off_the_deadline(page: FaultPage, tmp_path: Path) -> None:
+    """The request is 0.4 s old when accept works again: of its 0.6 s at most 0.2 are left, and 0.15 are slack."""
+    async def story() -> None:
+        async with served(tmp_path, page) as (d, endpoint):
+            page.set(SystemCall.ACCEPT, ALL)
+            lines = await _sent(d, 4, "0.6")
+            await asyncio.sleep(0.4)
+            page.clear()
+            await _answers(lines)
+            told = [float(head.lower().split(b"x-deadline: ")[1].split(b"\r\n")[0]) for head in endpoint.seen]
+            assert all(seconds <= 0.6 - 0.4 + 0.15 for seconds in told), told
+    run(story())
