Time that a request lay unread is taken off; the accept queue is empty before the end

Cause: the engine counted a request's time from its read (Engine.take), whatever it had waited for: accept that fails or pauses, a stopped process, a hold of its body. Server.drained called accept once and closed the listening socket, whatever accept had said; at the end of time it closed also what it had accepted in that very step and never read; a planned end that was stopped over its whole length ended in its first step.

Change: core/backlog.py (pure) bounds the age from the beats of the loop, the accept queue's last known end and holds; within that TCP_INFO tells when data last came. listeners/sockets.py has a row for each error of accept(2); single connections in trouble don't pause it, and pauses grow from 5 to 50 ms. The listening socket closes when accept has said that nobody waits, or time is up for good; who is still to be read then is read, and refused at once. A step of the end that comes late gives what came meanwhile 0.2 s. Whose time was over when it was read is refused unsent.

Ruled out: to pause less alone, which leaves the age.

--- a/gateusher/core/engine.py
+++ b/gateusher/core/engine.py
@@ -23,6 +23,7 @@
                                 TimerFired, Uploaded, Watch)
 from ..policy.permission import Denial, RequestFacts, denied, may_refuse
 from ..upstream.interface import LEAST_MS, NEVER_RAN, Attempt, Headers, Message, Reply
+from .backlog import Backlog
 from .states import ANSWERED, CONCLUDE, LEAVE, LEFT, MAKING, OPEN, REQUEST, REST, TAKE
 
 if TYPE_CHECKING:  # types alone, which a start need not make
@@ -35,6 +36,7 @@
 CLIENT_SEEN_MS = 50.0  # a client that was there so recently is not looked for again before something is sent for it
 STALL_MS = 20.0        # between two requests: the process may have stood still, and what is read then has waited
 BACKLOG_MS = 100.0     # and so may have what is read for so long after that
+BEAT_MS = 100.0        # between two calls of `turned`
 LIST_SEEN_MS = 20.0    # what was told of endpoints is read before a send, unless that was looked at so lately
 MOST_BODY = 65536  # bytes of a request's body, whichever face it comes through
 
@@ -73,7 +75,7 @@
 
     __slots__ = ("attempts", "client", "client_seen_ms", "cls", "deadline", "key", "keyed", "last", "most", "name",
                  "patience_ms", "ran", "read_at_once", "repeat", "rid", "served", "state", "tenant", "timer", "tries",
-                 "work_ms", "write_by")
+                 "waited_ms", "work_ms", "write_by")
 
     def __init__(self, client: Asking, method: bytes, target: bytes, headers: Headers, body: bytes | bytearray,
                  cls: int = 0, name: bytes = b"") -> None:
@@ -84,6 +86,7 @@
         self.keyed = self.repeat = False
         self.rid, self.deadline, self.patience_ms = 0, 0.0, 0.0
         self.read_at_once = True      # it did not wait to be read, unless the process stood still
+        self.waited_ms = 0.0          # how long it lay unread: its client's time began so much before it was taken
         self.client_seen_ms = -inf    # when its client was known to be there last
         self.tries = self.most = 0    # attempts made, and allowed
         self.state: str = MAKING      # see core/states.py; the engine alone moves it
@@ -145,7 +148,9 @@
     def __init__(self, settings: Settings, methods: tuple[frozenset[bytes], ...], seed: int, clock: Clock,
                  timers: Timers, most_held: int, memory: Bytes, diagnostics: Diagnostics | None = None) -> None:
         self._balancer = Balancer(settings, seed)
-        self._settings, self._methods, self._clock, self._memory = settings, methods, clock, memory
+        self._settings, self._methods, self._memory = settings, methods, memory
+        self.clock = self._clock = clock
+        self.backlog = Backlog(BEAT_MS)
         self._call_later = timers
         self.diagnostics = diagnostics or Diagnostics()
         self._list_seen_ms = -inf     # when what was told of endpoints was last looked at before a send
@@ -189,6 +194,10 @@
         except Exception:
             say(f"{type(event).__name__} could not be handled", traceback.format_exc(limit=-3).strip())
 
+    def turned(self) -> None:
+        """The loop turns; called each BEAT_MS, before what it finds to read."""
+        self.backlog.beat(self._clock.now())
+
     # -- what a face calls
 
     def reserve(self, name: bytes) -> bool:
@@ -239,13 +248,16 @@
         self._took_ms = now
         if call.read_at_once and now > self._backlog_ms:
             call.client_seen_ms = now
-        call.patience_ms = patience_ms
         upload = call.upload
+        if upload is None:
+            patience_ms -= call.waited_ms
+        call.patience_ms = patience_ms
         call.deadline = min(now + patience_ms if upload is None else inf, self._latest)
         call.most = self._settings.max_attempts
         self.calls[call.rid] = call
         self._names.add(call.name)
-        if len(self.calls) > self._most_held:
+        if len(self.calls) > self._most_held or call.deadline <= now:
+            # No room, or its time was over when it was read: nothing is sent for it, so a repeat is harmless.
             self._conclude(call, Final(Ending.REFUSED, None, self.come_back(0.0)))
             return None
         if call.deadline < inf:
@@ -254,12 +266,15 @@
                              call.work_ms, call.repeat, False, UPLOAD_MS if upload else 0.0))
         return None
 
-    def uploaded(self, call: Call) -> None:
-        """The last byte of a body that was still coming is there: the request's time begins (PROTOCOL, Figures)."""
+    def uploaded(self, call: Call, waited_ms: float = 0.0) -> None:
+        """The last byte of a body that was still coming is there: the request's time begins (PROTOCOL, Figures).
+
+        It began `waited_ms` before where that byte lay unread.
+        """
         assert call.upload
         if call.state == OPEN:
             now = self._clock.now()
-            call.deadline = min(now + call.patience_ms, self._latest)
+            call.deadline = min(now + call.patience_ms - waited_ms, self._latest)
             if call.timer:
                 call.timer.cancel()
             call.timer = self._call_later((call.deadline - now + OVERDUE_MS) / 1000, self._overdue, call)
--- a/gateusher/daemon.py
+++ b/gateusher/daemon.py
@@ -27,6 +27,7 @@
     from .membership.udp import Endpoint
 
 DRAIN_STEP_S = 0.02
+LATE_STEP_S = 0.1   # a step that comes so late found the process standing still: what came meanwhile is still unread
 GIVE_UP_S = 0.2     # after the end of the drain, for what is written to be read
 HAND_ON_S = 1.0     # how long an upgrade waits for what is held alone to be let go
 HEAR_S = 0.5        # how long a successor waits for the list before it serves by the one that it was given
@@ -113,7 +114,7 @@
         self.loads: list[Inside] = []
         self.turns: list[Turn] = []
         self.ended = asyncio.Event()
-        self._drain_by = 0.0
+        self._drain_by = self._drain_due = 0.0
         self._sweeping = self._loop.call_later(SWEEP_S, self._sweep)
 
     async def start(self) -> None:
@@ -207,14 +208,19 @@
             elif self.members:
                 self.members.leave()
             self.server.drain(end_s)
+            self._drain_due = self._loop.time()
             self._drain_step()
 
     def _drain_step(self) -> None:
+        now = self._loop.time()
+        if now - self._drain_due > LATE_STEP_S:
+            self._drain_by = max(self._drain_by, now + GIVE_UP_S)
         held = self.office is not None and not self.office.gone
         if (self.server.drained() and not held) or self._loop.time() >= self._drain_by:
             self.close()
             self.ended.set()
         else:
+            self._drain_due = now + DRAIN_STEP_S
             self._loop.call_later(DRAIN_STEP_S, self._drain_step)
 
     def close(self) -> None:
--- a/gateusher/listeners/http.py
+++ b/gateusher/listeners/http.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import re
 import select
 import socket
@@ -20,9 +19,11 @@
 from ..base.limits import Bytes, Descriptors
 from ..base.log import say
 from ..config.model import Names, key_of
+from ..core.backlog import waited
 from ..core.engine import Call, Ending, Engine, Fault, Final
 from ..upstream.interface import HOP, Headers, Reply, Rest
 from ..upstream.upload import Upload
+from .sockets import AcceptFailure, accept_failure, unread_ms
 from .phases import END, ENDING, HAND, RECLAIM, SEND_AWAY, SERVING, TAKE_BACK, Phases
 
 MOST_HEAD = 32768            # bytes of a request's header block
@@ -42,7 +43,9 @@
 UNREAD_S = 6.0               # an answer that the client takes nothing of for so long is given up
 NEW_S, STUCK_S = 0.1, 0.5    # where room is short: a silent connection, and half a request, go after that
 BACKLOG = 1024
-ACCEPT_PAUSE_S = 0.05
+ACCEPT_PAUSE_S, MOST_ACCEPT_PAUSE_S = 0.005, 0.05   # after an error that passes: the first one, and the longest
+MOST_ACCEPT_FAILURES = 16    # in a row, of single connections, before accepting pauses as well
+SWEEP_MS = 100.0             # between two sweeps
 SHED_AFTER_S = 0.1           # so long may the accept queue be behind where silent clients fill the table
 STOP_LISTENING_S = 0.55      # after SIGTERM: new connections come for 0.4 s
 GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR
@@ -121,6 +124,9 @@
         self._deaf = False        # a last answer is on its way: nothing more is read
         self._used = False        # a request has begun here before
         self._kept = False        # one has been taken here: what comes next did not wait to be accepted
+        self._queued_after_s = server.queue_empty_s   # it came into the accept queue after that
+        self._accept_late = server.accept_is_late
+        self._resumed_s = -inf    # when reading went on after a hold
         self._closing = False
         self.at = server.loop.time()  # when it connected, or was last answered or closed
         self._whole_by = self.at + WHOLE_S
@@ -130,6 +136,7 @@
         self._received = 0        # bytes of its body
         self._uploading: _Asked | None = None   # the request whose body goes on as it comes
         self._held_at = 0.0       # since when nothing is read of it, as its endpoint is slower; 0 for not
+        self._held_s = 0.0        # how long the last such hold was
         self._body = bytearray()
         self._fresh()
 
@@ -191,6 +198,13 @@
         return bool(not self._queue and not self._in_message and not self._blocked and self._transport
                     and not self._transport.get_write_buffer_size() and not self._poller.poll(0))
 
+    @property
+    def expecting(self) -> bool:
+        """Something that it has sent may still be unread: the loop is taking it in, or has not come to it yet."""
+        if self._closing or self._deaf:
+            return False
+        return self._transport is None or (not self._transport.is_closing() and bool(self._poller.poll(0)))
+
     @property
     def sending(self) -> bool:
         """A request has begun and is not whole."""
@@ -360,6 +374,7 @@
         if self._held_at:
             now = self._server.loop.time()
             self._whole_by += now - self._held_at  # its client had no part in that
+            self._held_s, self._resumed_s = now - self._held_at, now
             self._heard, self._held_at = now, 0.0
             if self._transport and not self._transport.is_closing():
                 self._transport.resume_reading()
@@ -373,20 +388,37 @@
     def on_message_complete(self) -> None:
         self._in_message = False
         if self._uploading:
-            call, self._uploading, self._kept = self._uploading, None, True
-            self._server.engine.uploaded(call)
+            call, self._uploading = self._uploading, None
+            self._server.engine.uploaded(call, self._waited_ms())
+            self._kept = True
             return
         body, self._body = self._body, bytearray()
         call = self._asked(body)
         # What has waited to be accepted may be of a client that has left since: its end is behind this in the same
         # queue of bytes, and is read a turn later, when the request would be out.
-        call.read_at_once, self._kept = self._kept, True
+        call.read_at_once = self._kept
+        call.waited_ms = self._waited_ms()
+        self._kept = True
         self._queue.append(call)
         status = self._submit(call)
         if status:
             self._server.memory.give(len(body))
             self._answer(call, status)
 
+    def _waited_ms(self) -> float:
+        """How long the request that is whole now lay unread: in the accept queue, behind a hold or a stall."""
+        now_s = self._server.loop.time()
+        most_ms = self._server.engine.backlog.most_ms(self._server.engine.clock.now())
+        slack_ms = SWEEP_MS
+        if now_s - self._resumed_s < SWEEP_MS / 1000:
+            most_ms = max(most_ms, (now_s - self._resumed_s + self._held_s) * 1000)
+        if not self._kept:
+            most_ms = max(most_ms, (now_s - self._queued_after_s) * 1000)
+            slack_ms = slack_ms if self._accept_late else inf
+        if most_ms <= 0.0 or self._transport is None:
+            return 0.0
+        return waited(most_ms, unread_ms(self._transport.get_extra_info("socket")), slack_ms)
+
     def _submit(self, call: _Asked) -> int:
         """Read what the request says of itself and give it to the core; the status where it isn't taken."""
         known, server = self._known, self._server
@@ -593,6 +625,9 @@
         self._end_s = END_S
         self._accepting = False
         self._queued_since = inf             # since when the accept queue has not been empty, for want of room
+        self.queue_empty_s = self.loop.time()  # when it was last known to be empty
+        self._accept_pause_s = ACCEPT_PAUSE_S  # the next one
+        self._paused = False
         self._socket: socket.socket | None = door
         if door is None:
             self._socket = socket.create_server(
@@ -628,8 +663,14 @@
     def port(self) -> int:
         return int(self._socket.getsockname()[1]) if self._socket else 0
 
-    def _accept(self) -> None:
-        """Take all connections that wait, as far as there is room for them."""
+    @property
+    def accept_is_late(self) -> bool:
+        """Whoever is accepted now may have waited in the queue."""
+        return self._queued_since < inf
+
+    def _accept(self) -> bool:
+        """Take all connections that wait, as far as there is room for them; whether none is left."""
+        failures = 0
         while self._socket and self._accepting:
             if len(self._clients) >= self._fds.most_clients or not self._fds.take():
                 # A descriptor is free only when its connection is gone, some turns of the loop later.  Until
@@ -637,22 +678,30 @@
                 self._queued_since = min(self._queued_since, self.loop.time())
                 if not self._reclaim() and not self._shed_silent():
                     self._pause("all descriptors are in use")
-                return
+                return False
             try:
                 sock, _ = self._socket.accept()
             except OSError as error:
                 self._fds.give()
-                if isinstance(error, BlockingIOError):
-                    self._queued_since = inf
-                # Out of descriptors or memory: the queue would wake us again at once, so wait a little.
-                if error.errno in {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}:
-                    self._fds.reclaim()
-                    self._pause(error)
-                    return
-                if error.errno == errno.ECONNABORTED:
+                failure = accept_failure(error)
+                if failure is AcceptFailure.EMPTY:
+                    self._queue_is_empty()
+                    return True
+                failures += 1
+                if failure is AcceptFailure.NEXT and failures < MOST_ACCEPT_FAILURES:
                     continue
-                return
+                # The queue would wake us again at once, so wait a little.
+                self._queued_since = min(self._queued_since, self.loop.time())
+                if failure is AcceptFailure.PAUSE:
+                    self._fds.reclaim()
+                self._pause(error)
+                return False
             self._take(sock)
+        return False
+
+    def _queue_is_empty(self) -> None:
+        self._queued_since, self.queue_empty_s = inf, self.loop.time()
+        self._accept_pause_s = ACCEPT_PAUSE_S
 
     def _take(self, sock: socket.socket) -> None:
         sock.setblocking(False)
@@ -680,13 +729,14 @@
         for _ in range(BACKLOG):
             try:
                 sock, _ = self._socket.accept()
-            except BlockingIOError:
-                self._queued_since = inf
-                break
             except OSError as error:
-                if error.errno == errno.ECONNABORTED:
+                failure = accept_failure(error)
+                if failure is AcceptFailure.NEXT:
                     continue
-                return False  # out of descriptors or memory: what is left in the queue waits for a pause
+                if failure is AcceptFailure.PAUSE:
+                    return False  # what is left in the queue waits for a pause
+                self._queue_is_empty()
+                break
             if silent and _has_sent(sock) and self._fds.take():
                 silent.pop().close()
                 self._take(sock)
@@ -702,12 +752,15 @@
             self.lost(client)
 
     def _pause(self, why: object) -> None:
-        if self._socket and self._accepting:
+        if self._socket and self._accepting and not self._paused:
             say("accepting pauses", why)
+            self._paused = True
             self.loop.remove_reader(self._socket)
-            self.loop.call_later(ACCEPT_PAUSE_S, self._resume)
+            self.loop.call_later(self._accept_pause_s, self._resume)
+            self._accept_pause_s = min(MOST_ACCEPT_PAUSE_S, 2 * self._accept_pause_s)
 
     def _resume(self) -> None:
+        self._paused = False
         if self._socket and self._accepting:
             self.loop.add_reader(self._socket, self._accept)
 
@@ -804,13 +857,14 @@
     def drained(self) -> bool:
         """One step of the drain; whether nothing is in hand any more."""
         since = self.phases.since(self.loop.time())
-        if self._socket and since >= min(STOP_LISTENING_S, self._end_s):
-            self._accept()  # those who wait in the queue were told that they are connected
+        if self._socket and since >= min(STOP_LISTENING_S, self._end_s) and self._accept():
+            # Those who waited in the queue were told that they are connected: it is empty, or time is up for good.
             self._stop_listening()
         if not self.phases.handed:
             self._close_idle(since >= CLOSE_NEW_S)
         if since >= self._end_s:
-            whole = [client for client in self._clients if not client.sending]
+            # Who is still to be read is read in the next turn: its request is answered at once, as time is over.
+            whole = [client for client in self._clients if not client.sending and not client.expecting]
             for client in [client for client in self._clients if client.sending]:
                 client.reject(503)  # the request was never taken
             # The deadlines end now too, by timers that may be called after this in the same turn, or a few
--- a/gateusher/node.py
+++ b/gateusher/node.py
@@ -92,6 +92,7 @@
         if (late := self.loop.time() - self._sweep_due) > STOOD_STILL_S:
             say("clock", f"stood still for {late:.1f} s")
             self.engine.deliver(Woke(late * 1000))
+        self.engine.turned()
         self.upstream.sweep()
         self.discovery.sweep()
         if self.gate:
