Failing tests: calls that fail for a moment in the start, a reload and a dial; backlog before its beat

Three real processes with socket, connect or open failing through the preloaded library: the start ends with 2, the reload is lost, the request is refused and its endpoint struck.

--- a/gateusher/core/backlog.py
+++ b/gateusher/core/backlog.py
@@ -28,7 +28,12 @@
         self._beat_ms = now_ms
 
     def most_ms(self, now_ms: float) -> float:
-        """What is read now came no longer ago than this; 0 where the loop has turned all the time."""
+        """What is read now came no longer ago than this; 0 where the loop has turned all the time.
+
+        A beat that is overdue counts as one that came late: a process that goes on may read before its timers run.
+        """
+        if self._beat_ms is not None and now_ms - self._beat_ms > self._period_ms + LATE_MS:
+            return now_ms - self._beat_ms
         return now_ms - self._since_ms if now_ms <= self._until_ms else 0.0
 
 
--- a/tests/standing/test_faults.py
+++ b/tests/standing/test_faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import fcntl
+import json
 import os
 import signal
 from collections.abc import AsyncIterator, Iterator
@@ -15,7 +16,7 @@
 from gateusher.standins.wire import Catalog
 from rig.soak.faults import ALL, FaultPage, SystemCall, build
 
-from ..helpers import until
+from ..helpers import HANG_S, until
 from ..net import Discovery, Endpoint, host, look, read_message
 from ..test_sockets import run, status
 from .process import Process, daemon, up
@@ -248,3 +249,57 @@
             told = _told(endpoint.seen[before:])
             assert all(seconds <= 0.6 - 0.4 + 0.15 for seconds in told), told
     run(story())
+
+
+# -- system calls that fail for a moment
+
+
+def test_a_call_that_fails_in_the_start_only_delays_it(page: FaultPage, tmp_path: Path) -> None:
+    """Descriptors or memory are short as it opens its address or reads its configuration."""
+    async def story(call: SystemCall) -> None:
+        endpoint = Endpoint()
+        await endpoint.start()
+        discovery = Discovery([host("e0", endpoint.port)])
+        await discovery.start()
+        page.set(call, ALL)
+        async with daemon(tmp_path, discovery.hosts, discovery.port, env=page.environment) as d:
+            await d.says(b"again soon")
+            page.clear()
+            await up(d.process, d.where)
+            await d.named("a")
+        for server in (endpoint.server, discovery.server):
+            server.close()
+    for call in (SystemCall.SOCKET, SystemCall.OPEN):
+        run(story(call))
+
+
+def test_a_reload_whose_file_cannot_be_opened_is_tried_again(page: FaultPage, tmp_path: Path) -> None:
+    """The new configuration names another discovery; nobody sends the signal a second time."""
+    async def story() -> None:
+        async with served(tmp_path, page) as (d, endpoint):
+            second = Discovery([host("e0", endpoint.port)], seq=2)
+            await second.start()
+            conf = json.loads(d.config.read_text())
+            d.config.write_text(json.dumps({**conf, "discovery": f"127.0.0.1:{second.port}"}))
+            page.set(SystemCall.OPEN, ALL)
+            d.process.send_signal(signal.SIGHUP)
+            await d.says(b"reload")
+            page.clear()
+            await second.watched.wait()
+            second.server.close()
+    run(story())
+
+
+def test_no_endpoint_is_blamed_where_no_connection_can_be_made_here(page: FaultPage, tmp_path: Path) -> None:
+    """A request waits until its dial works, and the endpoint is as good as before."""
+    async def story(call: SystemCall) -> None:
+        async with served(tmp_path, page) as (d, endpoint):
+            page.set(call, ALL)
+            lines = await _sent(d, 1, str(HANG_S))
+            await d.says(b"no connection")
+            page.clear()
+            assert await _answers(lines) == [200]
+            await d.named("b")
+            assert len(endpoint.seen) == 2
+    for call in (SystemCall.SOCKET, SystemCall.CONNECT):
+        run(story(call))
--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -59,3 +59,11 @@
     ("ENOMEM", AcceptFailure.PAUSE), ("EIO", AcceptFailure.PAUSE)])
 def test_what_an_error_of_accept_means(name: str, failure: AcceptFailure) -> None:
     assert accept_failure(OSError(getattr(errno, name), name)) is failure
+
+
+def test_what_is_read_before_the_late_beat_itself_counts_too() -> None:
+    """A stopped process may come to its sockets before its timers."""
+    backlog = Backlog(100.0)
+    backlog.beat(1000.0)
+    assert backlog.most_ms(1500.0) == 500.0
+    assert backlog.most_ms(1000.0 + 100.0 + LATE_MS) == 0.0
