What fails for a moment in the start, a reload or a dial is tried again; one verdict each time

Cause: cli/run ended at the first OSError of socket or open; a reload whose file could not be opened was dropped; _dial in upstream and discovery told every OSError as the other side's, so that out of descriptors all endpoints were struck, and a call for the list counted as refused by a discovery that was never called (its bound of 6 s began anew each time).

Change: base/errors.py has a row for errors of this machine that pass.

Ruled out: to treat EADDRINUSE of the listening address as passing, since that is a mistake in a configuration as often.

--- a/gateusher/cli/run.py
+++ b/gateusher/cli/run.py
@@ -10,20 +10,26 @@
 import os
 import resource
 import signal
+import time
 from collections.abc import Mapping
 
 import uvloop
 
 from ..base import signals
+from ..base.errors import AGAIN_S, persist
 from ..base.limits import LEAST_DESCRIPTORS
 from ..base.log import attach, say
 from ..config import platform
 from ..config.model import Config, ConfigError
 from ..daemon import Sidecar
+from .reload import Reloads
 from ..handover import channel
 from ..handover.channel import Inherited
 
 
+START_S = 8.0   # how long a start tries again what fails for a moment: nine in ten are to be ready in 10 s
+
+
 def load(path: str | None, env: Mapping[str, str], before: Config | None = None) -> Config:
     """A TOML file where one is named, the platform's JSON otherwise."""
     if path is None:
@@ -33,18 +39,25 @@
     return load_file(path)
 
 
-def reload(sidecar: Sidecar, path: str | None, env: Mapping[str, str]) -> None:
-    """SIGHUP: take up the file as it is now.  One that can't be used leaves all as it was.
+def reloads(sidecar: Sidecar, path: str | None, env: Mapping[str, str]) -> Reloads:
+    """What SIGHUP does to this process."""
+    words = {k: v for k, v in env.items() if k != "BALANCER_DISCOVERY"}
+    return Reloads(sidecar, lambda before: load(path, words, before))
 
-    The file wins over BALANCER_DISCOVERY here, which still says what held at the start.  Whatever goes wrong
-    with a new file, the old configuration serves on; that could hide a mistake, so it is logged.
-    """
-    try:
-        config = load(path, {k: v for k, v in env.items() if k != "BALANCER_DISCOVERY"}, sidecar.config)
-    except ConfigError as error:
-        say("reload: the old configuration stays", error)
-        return
-    sidecar.follow(config)
+
+def load_patiently(path: str | None, env: Mapping[str, str]) -> Config:
+    """The configuration at the start; one that can't be read for a reason that passes is read again for START_S."""
+    until_s, told = time.monotonic() + START_S, False
+    while True:
+        try:
+            return load(path, env)
+        except ConfigError as error:
+            if not error.passing or time.monotonic() > until_s:
+                raise
+            if not told:
+                say("configuration", f"{error}: again soon")
+                told = True
+        time.sleep(AGAIN_S)
 
 
 def _resident_mb() -> float:
@@ -80,8 +93,11 @@
 async def _run(config: Config, path: str | None, inherited: Inherited | None, meeting: str | None) -> int:
     loop = asyncio.get_running_loop()
     sidecar = None
+
+    async def made() -> Sidecar:
+        return Sidecar(config, inherited, meeting)
     try:
-        sidecar = Sidecar(config, inherited, meeting)
+        sidecar = await persist("listen", made, START_S)
         await sidecar.start()
     except OSError as error:
         say("listen", error)
@@ -93,7 +109,7 @@
         return 2
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, sidecar.drain)
-    loop.add_signal_handler(signal.SIGHUP, reload, sidecar, path, os.environ)
+    loop.add_signal_handler(signal.SIGHUP, reloads(sidecar, path, os.environ).reload)
     signals.release()
     gc.freeze()
     gc.set_threshold(20000, 20, 50)
@@ -107,7 +123,7 @@
     signals.hold()
     attach()
     try:
-        config = within_reach(load(path, os.environ))
+        config = within_reach(load_patiently(path, os.environ))
     except ConfigError as error:
         for fault in error.faults:
             say("configuration", fault)
--- a/gateusher/config/file.py
+++ b/gateusher/config/file.py
@@ -15,6 +15,7 @@
 import msgspec
 from msgspec import Meta, Struct, field
 
+from ..base.errors import PASSING_READ
 from ..policy.interface import ClassSettings, Effect, Scope, Settings
 from . import duties, membership
 from .membership import Seconds
@@ -299,7 +300,7 @@
         with open(path, "rb") as source:
             data = tomllib.load(source)
     except OSError as error:
-        raise ConfigError(f"{path}: {error.strerror}") from None
+        raise ConfigError(f"{path}: {error.strerror}", passing=error.errno in PASSING_READ) from None
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         raise ConfigError(f"{path}: not TOML: {error}") from None
     return parse(data)
--- a/gateusher/config/model.py
+++ b/gateusher/config/model.py
@@ -18,11 +18,14 @@
 
 
 class ConfigError(ValueError):
-    """The configuration can't be used; `faults` says each on a line, with the field's path and what is allowed."""
+    """The configuration can't be used; `faults` says each on a line, with the field's path and what is allowed.
 
-    def __init__(self, *faults: str) -> None:
+    `passing`: it could not be read for a reason that passes, so that the same file may be read a moment later.
+    """
+
+    def __init__(self, *faults: str, passing: bool = False) -> None:
         super().__init__("; ".join(faults))
-        self.faults = faults
+        self.faults, self.passing = faults, passing
 
 
 class Names(NamedTuple):
--- a/gateusher/daemon.py
+++ b/gateusher/daemon.py
@@ -9,6 +9,7 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
+from .base.errors import persist
 from .base.log import say
 from .config.model import Config
 from .handover.channel import Inherited
@@ -30,6 +31,7 @@
 LATE_STEP_S = 0.1   # a step that comes so late found the process standing still: what came meanwhile is still unread
 GIVE_UP_S = 0.2     # after the end of the drain, for what is written to be read
 HAND_ON_S = 1.0     # how long an upgrade waits for what is held alone to be let go
+OPEN_ADMIN_S = 1.0  # how long opening the operators' address is tried again
 HEAR_S = 0.5        # how long a successor waits for the list before it serves by the one that it was given
 
 
@@ -120,7 +122,7 @@
     async def start(self) -> None:
         """Open the operators' address, where there is one, and take over.  Raises OSError where it can't listen."""
         if self.node.config.admin:
-            await self.admin.start(self.node.config.admin)
+            await self._open_admin(self.node.config.admin)
         if self.node.config.control:
             await self.admin.start_local(self.node.config.control)
         if self.members:
@@ -155,6 +157,9 @@
                 for turn in self.turns:
                     turn.start()
 
+    async def _open_admin(self, where: tuple[str, int]) -> None:
+        await persist("operators' address", lambda: self.admin.start(where), OPEN_ADMIN_S)
+
     def _diagnostics(self) -> bytes:
         return json.dumps(self.node.diagnostics.report()).encode()
 
--- a/gateusher/discovery/catalog.py
+++ b/gateusher/discovery/catalog.py
@@ -16,6 +16,7 @@
 from ..policy.interface import ListKind, ListNews
 
 from ..config.model import Names
+from ..base.errors import dial
 from ..base.log import say
 from .calls import (ASKED, Asked, Calls, Close, Ended, Event, Failed, Follow, Later, Open, Reloaded, Spoke, Stop,
                     Tick, pushed as pushed_policy)
@@ -194,6 +195,7 @@
         self._open = 0                  # brackets that are open there
         self._status, self._over = 0, False
         self._closed = self._spoke = False
+        self._failed_here = False       # no socket could be had or connected, for a reason of this machine's
         self.list_by = inf              # until then the list that has begun must be whole
 
     def dial(self, loop: asyncio.AbstractEventLoop, where: tuple[str, int]) -> None:
@@ -201,8 +203,13 @@
         self._task = loop.create_task(self._dial(where))
 
     async def _dial(self, where: tuple[str, int]) -> None:
+        def failed(error: OSError) -> None:
+            if not self._failed_here:
+                say("no connection to discovery", error)
+            self._failed_here = True
+
         try:
-            await self._loop.create_connection(lambda: self, *where)
+            await dial(self._loop, lambda: self, where, failed)  # until `close`: an error here is no word of it
         except OSError as error:
             self._owner.failed(self, error)
 
--- a/gateusher/upstream/http.py
+++ b/gateusher/upstream/http.py
@@ -18,6 +18,7 @@
 
 from ..base.clock import Clock
 from ..base.diagnostics import Diagnostics
+from ..base.errors import dial
 from ..discovery.lists import HostLine
 from ..base.limits import Bytes, Descriptors
 from ..base.log import say
@@ -65,6 +66,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
         self.dial: asyncio.Task[None] | None = None
+        self.failed_here = False  # no socket could be had or connected, for a reason of this machine's
         self._late: asyncio.TimerHandle | None = None   # until it must be up
         self.attempt: Attempt | None = None
         self.idle_since = self.heard_ms = self._begun_ms = 0.0
@@ -97,7 +99,8 @@
     def _too_late(self) -> None:
         self._late = None
         if self.attempt and self.state == DIALLING:
-            self.stop(Outcome.CONNECT_FAILED)
+            # What failed here says nothing of the endpoint.
+            self.stop(Outcome.NOT_SENT if self.failed_here else Outcome.CONNECT_FAILED)
 
     def _in_time(self) -> None:
         if self._late:
@@ -670,16 +673,21 @@
             return None
         conn = Connection(self, host)
         self._conns.add(conn)
-        dial = conn.dial = self.loop.create_task(self._dial(conn))
+        dialling = conn.dial = self.loop.create_task(self._dial(conn))
         conn.wait(self._dial_s)
         # Not in the task itself: one that is cancelled before its first step never runs a line of it, and the
         # descriptor would never be given back.
-        dial.add_done_callback(lambda task: self.lost(conn) if task.cancelled() else None)
+        dialling.add_done_callback(lambda task: self.lost(conn) if task.cancelled() else None)
         return conn
 
     async def _dial(self, conn: Connection) -> None:
+        def failed(error: OSError) -> None:
+            if not conn.failed_here:
+                say("no connection", error)
+            conn.failed_here = True
+
         try:
-            await self.loop.create_connection(lambda: conn, conn.host.ip, conn.host.port)
+            await dial(self.loop, lambda: conn, (conn.host.ip, conn.host.port), failed)
         except OSError:
             conn.dial = None
             if conn.attempt:
--- a/tests/membership/test_udp.py
+++ b/tests/membership/test_udp.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import json
-import os
 import socket
 import subprocess
 import sys
 from collections.abc import Callable
 from pathlib import Path
+from random import Random
 
 import pytest
 import uvloop
@@ -16,6 +16,7 @@
 from gateusher.config.membership import Membership
 from gateusher.membership.interface import Changed, Heard, State
 from gateusher.membership.udp import Endpoint
+from gateusher.membership.wire import MAGIC
 
 from ..helpers import HANG_S, until
 
@@ -71,17 +72,21 @@
             sock.bind(("127.0.0.1", 0))
             loop.add_reader(sock, lambda: answered.append(len(sock.recv(65535))))
             lengths = [*range(0, 1300), *range(1300, 65508, 911), 65507]
-            for length in lengths:
+            random = Random(1)
+            datagrams = [random.randbytes(length) for length in lengths]
+            datagrams.append(MAGIC + random.randbytes(200))   # begins like a sealed one
+            for datagram in datagrams:
                 seen = a.received
                 while a.received == seen:   # one at a time, so that none is lost in a full buffer
-                    sock.sendto(os.urandom(length), config.listen)
+                    sock.sendto(datagram, config.listen)
                     async with asyncio.timeout(HANG_S):
                         while a.received == seen:
                             await asyncio.sleep(0)
             loop.remove_reader(sock)
         dropped = a.machine.drops
-        assert a.received == len(lengths) and sum(dropped.values()) == len(lengths)
-        assert set(dropped) == {"length", "malformed"} and not answered and not a.machine.there
+        assert a.received == len(datagrams) and sum(dropped.values()) == len(datagrams)
+        assert set(dropped) == {"length", "malformed", "key"} and dropped["key"] == 1
+        assert not answered and not a.machine.there
         a.close()
     run(test)
 
--- a/tests/standing/test_run.py
+++ b/tests/standing/test_run.py
@@ -13,6 +13,7 @@
 import sys
 from collections.abc import Iterator
 from pathlib import Path
+from random import Random
 
 import pytest
 
@@ -70,7 +71,7 @@
             await up(process, where)
             await first.watched.wait()
             with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer:  # whatever peers send is no reason to end
-                for data in (b"", b"\0" * 256, b"{}", b"\xff" * 1400, os.urandom(256)):
+                for data in (b"", b"\0" * 256, b"{}", b"\xff" * 1400, Random(1).randbytes(256)):
                     peer.sendto(data, peers)
             reader, writer = await asyncio.open_connection(*where)
             writer.write(look())
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -11,7 +11,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from gateusher.cli.run import reload
+from gateusher.cli.run import reloads
 from gateusher.config.classes import Classes, Kind
 from gateusher.config.model import usual_methods
 from gateusher.listeners import http as server_module
@@ -176,7 +176,8 @@
 
     def write(self, text: str) -> None:
         self.path.write_text(text)
-        reload(self.r.sidecar, None, {"BALANCER_CONFIG": str(self.path), "BALANCER_LISTEN": "127.0.0.1:1"})
+        env = {"BALANCER_CONFIG": str(self.path), "BALANCER_LISTEN": "127.0.0.1:1"}
+        reloads(self.r.sidecar, None, env).reload()
 
     def lanes(self, *lanes: dict[str, Any], **bounds: Any) -> None:
         conf = copy.deepcopy(self.conf)
