The age of a request is bounded in the loop's own time, without a clock call for each

The ordinary path takes the loop's cached time in place of a system clock; on a kept connection of a loop that turns nothing else is looked at.

--- a/gateusher/core/engine.py
+++ b/gateusher/core/engine.py
@@ -36,7 +36,7 @@
 CLIENT_SEEN_MS = 50.0  # a client that was there so recently is not looked for again before something is sent for it
 STALL_MS = 20.0        # between two requests: the process may have stood still, and what is read then has waited
 BACKLOG_MS = 100.0     # and so may have what is read for so long after that
-BEAT_MS = 100.0        # between two calls of `turned`
+BEAT_MS = 100.0        # between two beats of the loop
 LIST_SEEN_MS = 20.0    # what was told of endpoints is read before a send, unless that was looked at so lately
 MOST_BODY = 65536  # bytes of a request's body, whichever face it comes through
 
@@ -149,8 +149,8 @@
                  timers: Timers, most_held: int, memory: Bytes, diagnostics: Diagnostics | None = None) -> None:
         self._balancer = Balancer(settings, seed)
         self._settings, self._methods, self._memory = settings, methods, memory
-        self.clock = self._clock = clock
-        self.backlog = Backlog(BEAT_MS)
+        self._clock = clock
+        self.backlog = Backlog(BEAT_MS)   # told each BEAT_MS, in the loop's own time
         self._call_later = timers
         self.diagnostics = diagnostics or Diagnostics()
         self._list_seen_ms = -inf     # when what was told of endpoints was last looked at before a send
@@ -194,10 +194,6 @@
         except Exception:
             say(f"{type(event).__name__} could not be handled", traceback.format_exc(limit=-3).strip())
 
-    def turned(self) -> None:
-        """The loop turns; called each BEAT_MS, before what it finds to read."""
-        self.backlog.beat(self._clock.now())
-
     # -- what a face calls
 
     def reserve(self, name: bytes) -> bool:
--- a/gateusher/listeners/http.py
+++ b/gateusher/listeners/http.py
@@ -408,14 +408,16 @@
     def _waited_ms(self) -> float:
         """How long the request that is whole now lay unread: in the accept queue, behind a hold or a stall."""
         now_s = self._server.loop.time()
-        most_ms = self._server.engine.backlog.most_ms(self._server.engine.clock.now())
+        most_ms = self._server.engine.backlog.most_ms(now_s * 1000)
+        if self._kept and most_ms <= 0.0 and not self._held_s:
+            return 0.0
         slack_ms = SWEEP_MS
         if now_s - self._resumed_s < SWEEP_MS / 1000:
             most_ms = max(most_ms, (now_s - self._resumed_s + self._held_s) * 1000)
         if not self._kept:
             most_ms = max(most_ms, (now_s - self._queued_after_s) * 1000)
             slack_ms = slack_ms if self._accept_late else inf
-        if most_ms <= 0.0 or self._transport is None:
+        if self._transport is None:
             return 0.0
         return waited(most_ms, unread_ms(self._transport.get_extra_info("socket")), slack_ms)
 
--- a/gateusher/node.py
+++ b/gateusher/node.py
@@ -92,7 +92,7 @@
         if (late := self.loop.time() - self._sweep_due) > STOOD_STILL_S:
             say("clock", f"stood still for {late:.1f} s")
             self.engine.deliver(Woke(late * 1000))
-        self.engine.turned()
+        self.engine.backlog.beat(self.loop.time() * 1000)
         self.upstream.sweep()
         self.discovery.sweep()
         if self.gate:
