Every close has a reason; what the program asserts of itself is a fault for the explorer

Need: a close could not be traced to its cause, and a second guard hides that the first one failed.

Change: each close of a client's connection from here has a row (listeners/http.Close), each of an idle endpoint's a word, in the node's diagnostics; a close with a request taken and unanswered, and an attempt that comes up for nobody, are violations. The explorer counts any violation as broken.

--- a/checker/properties.py
+++ b/checker/properties.py
@@ -304,7 +304,12 @@
 def nothing_let_through(world: World) -> list[str]:
     """No callback raises, and no move is made that a table doesn't hold."""
     errors, world.loop.errors = world.loop.errors, []
-    return [f"a callback raised: {e}" for e in errors]
+    return [f"a callback raised: {e}" for e in errors] + asserted(world)
+
+
+def asserted(world: World) -> list[str]:
+    """What the program asserts of itself at run time: a second guard that had to act is a fault of the first."""
+    return [f"asserted at run time: {rule.value}" for rule in world.node.diagnostics.violations]
 
 
 __all__ = ["always", "at_rest", "sending", "telling", "whole", "wording"]
--- a/gateusher/base/diagnostics.py
+++ b/gateusher/base/diagnostics.py
@@ -21,6 +21,7 @@
 
     NO_REPEAT_OF_WHAT_MAY_HAVE_RUN = "an unsafe request that may have run was to be sent again"
     NO_REFUSAL_OF_WHAT_MAY_HAVE_RUN = "an unsafe request that may have run was to be refused"
+    NO_ATTEMPT_FOR_NOBODY = "a connection came up with an attempt that nobody waits for any more"
     NO_CLOSE_WITH_ANSWERS_OWED = "a client's connection was closed with a request taken and not answered"
 
 
--- a/gateusher/core/engine.py
+++ b/gateusher/core/engine.py
@@ -300,8 +300,13 @@
     def permitted(self, call: Call) -> bool:
         """Whether an attempt that was allowed may still be written, now that its connection is up."""
         self._read_list(self._clock.now())
-        if call.state != OPEN or not self.wanted(call):
-            self._deny(call, Denial.CLIENT_LEFT if call.state == OPEN else Denial.OVER)
+        if call.state != OPEN:
+            # Whoever ended it gives up what is not written.
+            self.diagnostics.violated(Rule.NO_ATTEMPT_FOR_NOBODY, call.name)
+            self._deny(call, Denial.OVER)
+            return False
+        if not self.wanted(call):
+            self._deny(call, Denial.CLIENT_LEFT)
             return False
         return True
 
--- a/gateusher/listeners/http.py
+++ b/gateusher/listeners/http.py
@@ -11,16 +11,19 @@
 import socket
 import struct
 from collections import deque
+from enum import Enum
 from math import inf
 from typing import cast
 
 import httptools
 from ..base import proof
+from ..base.diagnostics import Rule
 from ..base.limits import Bytes, Descriptors
 from ..base.log import say
 from ..config.model import Names, key_of
 from ..core.backlog import waited
 from ..core.engine import Call, Ending, Engine, Fault, Final
+from ..core.states import OPEN
 from ..upstream.interface import HOP, Headers, Reply, Rest
 from ..upstream.upload import Upload
 from .sockets import AcceptFailure, accept_failure, unread_ms
@@ -77,6 +80,27 @@
     return value if value <= most else None
 
 
+class Close(Enum):
+    """Why a client's connection was closed from here."""
+
+    LAST_ANSWER = "its last answer is written"
+    IDLE = "idle"
+    SILENT = "nothing was ever sent"
+    UNREAD = "its answer is not read"
+    LINGERED = "it still sends behind its last answer"
+    LEFT = "its client has left"
+    TOO_MANY_IDLE = "too many are idle"
+    NO_ROOM = "its place is needed"
+    SENT_AWAY = "clients are sent away"
+    ENDING = "the process ends"
+    CUT = "an answer that was passed on broke off"
+    NOT_ATTACHED = "the loop could not take it in"
+
+
+# No answer can reach the client any more, whatever it is still owed.
+NOBODY_READS = frozenset({Close.LEFT, Close.UNREAD, Close.CUT})
+
+
 class UnusableError(Exception):
     """The parser must stop here: nothing behind this can be trusted, or there is too much of it."""
 
@@ -214,18 +238,35 @@
     def used(self) -> bool:
         return self._used
 
-    def close(self) -> None:
+    def close(self, why: Close) -> None:
+        """Close it after what is written; nobody may be owed anything on it."""
+        self._note_close(why)
         self._closing = True
         if self._transport:
             self._transport.close()
 
+    def _abort(self, why: Close) -> None:
+        """Close it at once, with whatever was to be written."""
+        self._note_close(why)
+        if self._transport:
+            self._transport.abort()
+
+    def _note_close(self, why: Close) -> None:
+        if self._closing:
+            return
+        diagnostics = self._server.engine.diagnostics
+        owed = [call for call in self._queue if call.state == OPEN] if why not in NOBODY_READS else []
+        diagnostics.note("client closed", why.value, owed[0].name if owed else b"")
+        for call in owed:
+            diagnostics.violated(Rule.NO_CLOSE_WITH_ANSWERS_OWED, call.name)
+
     def end(self) -> None:
         """The process ends and all answers are written, read or not: another request would be one too many."""
         if self._queue and (rest := self._queue[0].rest):
             rest.stop()
             self.passed(self._queue[0], False)
         else:
-            self.close()
+            self.close(Close.ENDING)
 
     def spare(self, now: float) -> bool:
         """Whether it may be closed to make room.
@@ -243,13 +284,13 @@
         """Now and then: an end for what makes no progress."""
         waited = now - self.at
         if (self._blocked or self._closing) and waited > UNREAD_S and self._transport:
-            self._transport.abort()
+            self._abort(Close.UNREAD)
         elif self._deaf:
             if not self._queue and waited > LINGER_S:
-                self.close()
+                self.close(Close.LINGERED)
         elif self._in_message and self._held_at:
             if self.gone and self._transport:
-                self._transport.abort()  # nothing is read of it, so only this look tells that it has left
+                self._abort(Close.LEFT)  # nothing is read of it, so only this look tells
             elif now - self._held_at > HELD_S:
                 self.go()
                 self.reject(503)  # no endpoint takes it, and none has begun it
@@ -258,7 +299,7 @@
                                          or now > self._whole_by + self._received / BODY_RATE):
                 self.reject(408)
         elif waited > (IDLE_S if self._used else SILENT_S) and self.idle:
-            self.close()
+            self.close(Close.IDLE if self._used else Close.SILENT)
 
     # -- input
 
@@ -266,7 +307,7 @@
         if self._deaf:
             return
         if self._uploading and self.gone and self._transport:
-            self._transport.abort()  # its last byte may be among these, and would go on as it is read
+            self._abort(Close.LEFT)  # its last byte may be among these, and would go on as it is read
             return
         begun = self._in_head
         try:
@@ -539,7 +580,7 @@
             # Where the end alone says that an answer is over (RFC 9112, 6.3), only a reset says that it isn't.
             sock = transport.get_extra_info("socket")
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            transport.abort()
+            self._abort(Close.CUT)
             return
         if call.chunked:
             transport.write(b"0\r\n\r\n")
@@ -592,7 +633,7 @@
     def _last(self, transport: asyncio.Transport) -> None:
         """The last answer is written: close, or first let come what the client is still sending."""
         if not self._deaf:
-            self.close()
+            self.close(Close.LAST_ANSWER)
         elif not transport.is_closing():
             transport.write_eof()
 
@@ -740,7 +781,7 @@
                 self._queue_is_empty()
                 break
             if silent and _has_sent(sock) and self._fds.take():
-                silent.pop().close()
+                silent.pop().close(Close.NO_ROOM)
                 self._take(sock)
             else:
                 sock.close()
@@ -749,7 +790,9 @@
     async def _attach(self, client: Client, sock: socket.socket) -> None:
         try:
             await self.loop.connect_accepted_socket(lambda: client, sock)
-        except OSError:
+        except OSError as error:
+            say("connection not taken in", error)
+            self.engine.diagnostics.note("client closed", Close.NOT_ATTACHED.value)
             sock.close()
             self.lost(client)
 
@@ -776,7 +819,7 @@
         now = self.loop.time()
         for client in sorted(self._clients, key=lambda c: (c.used, c.at)):
             if client.spare(now):
-                client.close()
+                client.close(Close.NO_ROOM)
                 return True
         return False
 
@@ -795,11 +838,11 @@
         idle = sorted((c for c in self._clients if c.used and c.idle), key=lambda c: c.at)
         for client in idle[:max(0, len(idle) - self._fds.most_idle)]:
             if now - client.at > CROWDED_S:
-                client.close()
+                client.close(Close.TOO_MANY_IDLE)
         if self.phases.away and (self.phases.phase != ENDING or self.phases.handed):
             for client in list(self._clients):
                 if client.idle and not self.phases.spares_idle(now, client.at, client.used):
-                    client.close()
+                    client.close(Close.SENT_AWAY)
 
     def rename(self, names: Names, former: dict[bytes, int]) -> None:
         """Classes go by these names from now on, and for a moment by their `former` meaning too."""
@@ -854,7 +897,7 @@
     def _close_idle(self, unused: bool) -> None:
         for client in list(self._clients):
             if client.idle and (unused or client.used):
-                client.close()
+                client.close(Close.ENDING)
 
     def drained(self) -> bool:
         """One step of the drain; whether nothing is in hand any more."""
@@ -879,4 +922,4 @@
     def close(self) -> None:
         self._stop_listening()
         for client in list(self._clients):
-            client.close()
+            client.close(Close.ENDING)
--- a/gateusher/upstream/http.py
+++ b/gateusher/upstream/http.py
@@ -667,6 +667,7 @@
                 host.idle.remove(conn)
                 if conn.reusable():
                     return conn
+                self.diagnostics.note("endpoint closed", "it ended or spoke while idle")
                 conn.close()
         if not self._fds.take():
             say("no connection", "all descriptors are in use")
@@ -745,10 +746,12 @@
             conn.keep()
             host.idle.append(conn)
         else:
+            self.diagnostics.note("endpoint closed", "its endpoint changed meanwhile")
             conn.close()
 
-    def drop(self, conn: Connection) -> None:
+    def drop(self, conn: Connection, why: str = "it ended or spoke while idle") -> None:
         """An idle connection that is of no more use."""
+        self.diagnostics.note("endpoint closed", why)
         if conn in conn.host.idle:
             conn.host.idle.remove(conn)
         conn.close()
@@ -765,6 +768,7 @@
         if host:
             idle, host.idle = host.idle, []
             for conn in idle:
+                self.diagnostics.note("endpoint closed", "its endpoint is left")
                 conn.close()
 
     def _reclaim(self) -> bool:
@@ -772,7 +776,7 @@
         host = min((h for h in self._hosts.values() if h.idle), key=lambda h: h.idle[0].idle_since,
                    default=None)
         if host:
-            self.drop(host.idle[0])
+            self.drop(host.idle[0], "its place is needed")
         return host is not None
 
     def sweep(self) -> None:
@@ -780,7 +784,7 @@
         now = self.clock.now()
         for host in self._hosts.values():
             while host.idle and now - host.idle[0].idle_since > self._idle_ms:
-                self.drop(host.idle[0])
+                self.drop(host.idle[0], "idle")
 
     def close(self) -> None:
         for conn in list(self._conns):
--- a/tests/checker/test_moments.py
+++ b/tests/checker/test_moments.py
@@ -31,7 +31,7 @@
 
 FAULTS: list[tuple[Callable[[pytest.MonkeyPatch], None], tuple[str, ...], Setting, str]] = [
     (end_without_answers, ("unsafe", "safe"), Setting(drains=True), "open"),
-    (kept_for_nobody, ("unsafe",), Setting(), "left"),
+    (kept_for_nobody, ("unsafe",), Setting(), "nobody waits"),
     (by_the_old_word, ("safe",), Setting(operated=True), "sent again"),
 ]
 
--- a/tests/standing/test_end.py
+++ b/tests/standing/test_end.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from gateusher.listeners.http import Client
+from gateusher.listeners.http import Client, Close
 
 from ..helpers import HANG_S, until
 from ..net import Endpoint, Rig, Writer, configuration, look, pay, read_message, rig
@@ -94,7 +94,7 @@
 
     def late(self: Client, transport: asyncio.BaseTransport) -> None:
         if not came:
-            self.close()
+            self.close(Close.ENDING)
         came.append(self)
         made(self, transport)
     monkeypatch.setattr(Client, "connection_made", late)
--- a/tests/test_diagnostics.py
+++ b/tests/test_diagnostics.py
@@ -6,8 +6,9 @@
 import pytest
 
 from gateusher.base.diagnostics import MOST_EVENTS, Diagnostics, Rule
+from gateusher.listeners.http import Close
 from gateusher.policy.interface import Refuse, Send
-from gateusher.standins.nodes import Fleet, Node, NotRun, Reset
+from gateusher.standins.nodes import Fleet, Node, NotRun, Reset, Stall
 
 from .helpers import HANG_S
 from .net import host, look, pay, read_message, rig, unused
@@ -58,7 +59,8 @@
             head, _ = await r.ask(pay("p1"))
             assert status(head) == 502
             assert fleet.effects["p1"] == 1
-            assert set(engine.diagnostics.violations) == set(Rule) - {Rule.NO_CLOSE_WITH_ANSWERS_OWED}
+            assert set(engine.diagnostics.violations) == {
+                Rule.NO_REPEAT_OF_WHAT_MAY_HAVE_RUN, Rule.NO_REFUSAL_OF_WHAT_MAY_HAVE_RUN}
         node.kill()
     run(story())
 
@@ -85,3 +87,29 @@
         assert told["violations"] == {}
         node.kill()
     run(story())
+
+
+def test_closes_have_a_reason_and_one_with_an_answer_owed_is_a_violation() -> None:
+    """The second client is closed by force with its request out, which nothing in the program does."""
+    async def story() -> None:
+        fleet = Fleet()
+        node = Node(fleet, "e0")
+        await node.start()
+        fleet.tell("held", Stall())
+        async with rig(known={"seq": 1, "whole": True, "hosts": [host("e0", node.port)]}) as r:
+            diagnostics = r.sidecar.engine.diagnostics
+            reader, writer = await r.connect()
+            writer.write(look("last", more=b"Connection: close\r\n"))
+            await asyncio.wait_for(reader.read(), HANG_S)
+            assert diagnostics.report()["counts"]["client closed"] == {Close.LAST_ANSWER.value: 1}
+            assert not diagnostics.violations
+            _, other = await r.connect()
+            other.write(look("held"))
+            await fleet.arrival("held")
+            for client in list(r.sidecar.server._clients):
+                client.close(Close.NO_ROOM)
+            assert diagnostics.violations == {Rule.NO_CLOSE_WITH_ANSWERS_OWED: 1}
+            writer.close()
+            other.close()
+        node.kill()
+    run(story())
