--- a/checker/world.py
+++ b/checker/world.py
@@ -21,6 +21,7 @@
 from gateusher.client import Conflict, DeadlineExceeded, Failed, Gateway, GatewayError, Refused, Settled
 from gateusher.config.file import parse
 from gateusher.config.model import Config
+from gateusher.core import engine as engine_module
 from gateusher.core.engine import Engine
 from gateusher.daemon import Sidecar
 from gateusher.discovery import catalog as catalog_module
@@ -154,7 +155,7 @@
 PATCHED = ((node_module, "Clock"), (client_module, "time"), (upstream_module, "select"), (upstream_module, "say"),
            (listener_module, "select"), (listener_module, "socket"), (listener_module, "say"),
            (upstream_module, "MOST_BODY"), (catalog_module, "say"), (catalog_module, "select"), (fixed_module, "say"),
-           (lists_module, "say"),
+           (lists_module, "say"), (engine_module, "say"),
            (daemon_module, "DRAIN_STEP_S"), (machine.Table, "illegal"))
 
 
@@ -218,7 +219,7 @@
                      "MOST_BODY": 2 if setting.long else upstream_module.MOST_BODY,
                      "say": lambda what, why: None}   # the same line ten thousand times a second helps nobody
         for module, name in PATCHED:
-            setattr(module, name, stands_in[name])
+            setattr(module, name, stands_in[name] if module is not engine_module else self._engine_said)
         self.gateway = Gateway(self.config, on_settled=self._settled)
         if face == "daemon":
             self.sidecar = Sidecar(self.config)
@@ -248,6 +249,10 @@
 
     # -- eyes
 
+    def _engine_said(self, what: str, why: object) -> None:
+        """What the engine logs is an event that it could not handle: in service the request's timer fails it."""
+        self.story.wrong.append(f"{what}: {why}")
+
     def _watch_dials(self) -> None:
         self.upstream._conns = InOrder(self.upstream._conns)  # type: ignore[assignment]
         if self.face == "daemon":
