--- a/rig/soak/sidecars.py
+++ b/rig/soak/sidecars.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 import time
+import tomllib
 from contextlib import suppress
 from pathlib import Path
 from typing import Any
@@ -17,6 +18,9 @@
 from .records import ProcessRecord, Records, Span
 
 ROOT = Path(__file__).parents[2]
+# As the deploy file words it, with the interpreter that runs the soak.
+DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+RUN = str(DEPLOY["run"]).replace(".venv/bin/python", sys.executable)
 GRACE_MS = 1000            # of drains, in the settings
 IDLE_MS = 3000             # endpoints close what stands idle
 LONGEST_DEADLINE_S = 1.0
@@ -71,11 +75,13 @@
         record = self.record = ProcessRecord(self.name, time.monotonic())
         self.records.processes.append(record)
         with self.log.open("ab") as log:
-            self._process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "gateusher", cwd=ROOT, stderr=log, stdout=log, env={
+            process = await asyncio.create_subprocess_exec(
+                "sh", "-c", RUN, cwd=ROOT, stderr=log, stdout=log, env={
                     **os.environ, "BALANCER_CONFIG": str(self.folder / "config.json"),
                     "TMPDIR": str(self.folder / "private"), "PYTHONDONTWRITEBYTECODE": "1",
                     **(self.faults.environment if self.faults else {})})
+        await self._executed(process.pid)
+        self._process = process
         while time.monotonic() - record.started_s < READY_S:
             if self._process.returncode is not None:
                 record.exit_code, record.ended_s = self._process.returncode, time.monotonic()
@@ -85,6 +91,13 @@
                 return
             await asyncio.sleep(0.02)
 
+    @staticmethod
+    async def _executed(pid: int) -> None:
+        """Until the shell has become the daemon: the platform's signals go to that one."""
+        with suppress(OSError):
+            while Path(f"/proc/{pid}/cmdline").read_bytes().startswith(b"sh\0"):
+                await asyncio.sleep(0.001)
+
     async def _healthy(self) -> bool:
         with suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
             async with asyncio.timeout(1.0):
