--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import os
+import shutil
 import signal
 import socket
 import subprocess
@@ -303,8 +304,8 @@
             "BALANCER_CONFIG": str(path),
             "TMPDIR": str(self.folder / "tmp"),
         }
-        log = (self.folder / "log").open("wb")
-        self.process = subprocess.Popen(["/bin/sh", "-c", run], cwd=ROOT, env=env, stdout=log, stderr=log)
+        with (self.folder / "log").open("wb") as log:
+            self.process = subprocess.Popen(["/bin/sh", "-c", run], cwd=ROOT, env=env, stdout=log, stderr=log)
 
     async def ready(self) -> None:
         """Wait until `GET /_health` answers 200.  Raises RuntimeError where it does not."""
@@ -322,15 +323,12 @@
             await asyncio.sleep(0.05)
         raise RuntimeError("the sidecar did not become ready")
 
-    def log_text(self) -> str:
-        """Return what it wrote to standard output and error."""
-        return (self.folder / "log").read_text(errors="replace")
-
     def end(self) -> None:
-        """End the process that was started here."""
+        """End the process that was started here, and remove its folder."""
         if self.process and self.process.poll() is None:
             self.process.send_signal(signal.SIGKILL)
             self.process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def request(cls: str, request_id: str, deadline_s: float, body: bytes | None = None, key: str = "") -> bytes:
