--- a/review/2/case.py
+++ b/review/2/case.py
@@ -156,4 +156,4 @@
 
 
 if __name__ == "__main__":
-    main(__file__, play)
+    main(Path(__file__).with_name("record.txt"), play)
--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -35,11 +35,10 @@
 
 
 class Record:
-    """Writes record.txt in the case's folder: one line for each thing sent, answered or run."""
+    """The record.txt of a case: one line for each thing sent, answered or run."""
 
-    def __init__(self, script: str) -> None:
-        self.path = Path(script).resolve().parent / "record.txt"
-        self._file = self.path.open("w", encoding="utf-8")
+    def __init__(self, path: Path) -> None:
+        self._file = path.open("w", encoding="utf-8")
         self._start_s = time.monotonic()
         self.write(f"TROUBLE={int(TROUBLE)}")
 
@@ -347,9 +346,9 @@
     return "\r\n".join([*lines, "", ""]).encode() + (body or b"")
 
 
-def main(script: str, play: Callable[[Record], Awaitable[int]]) -> None:
+def main(record_path: Path, play: Callable[[Record], Awaitable[int]]) -> None:
     """Play a case and exit with its code: 1 broken, 0 held, 2 not run."""
-    record = Record(script)
+    record = Record(record_path)
     try:
         code = asyncio.run(asyncio.wait_for(play(record), 110))
     except Exception as error:  # whatever it is, the case could not run
