Uploads: a pause of the client ends with the body, so that its next request is read

The client's close was not read either, so the descriptor stayed in use.

Cause: an upload pauses its client while memory is scarce and no connection to an endpoint is up, or while the endpoint's socket is full. The bytes of a read that come after the pause are parsed all the same, so the body may end in that read. From then on nobody resumed the client: `attach` and `resume_writing` resume only what is not complete, `release` never did.

The fix: `Upload.finish` and `Upload.release` lift the pause. Nothing is left to hold back once the body is complete, and a finished upload has no say in what its client sends next. Every end of an upload passes one of the two.

The property test of uploads let no paused body end; now it may, and a source must not stay paused after `release`. A pause that ends in the read in which it began no longer replaces the pause before it in what a pipelined request waited (tests/listeners/test_unread_input.py).

--- a/gateusher/listeners/client_connection.py
+++ b/gateusher/listeners/client_connection.py
@@ -253,7 +253,6 @@
         if self.has_disconnected:
             self._abort(CloseReason.CLIENT_DISCONNECTED)  # reading is paused, so no end of file is reported
         elif now_s - self._upload_paused_at_s > UPLOAD_BACKPRESSURE_TIMEOUT_S:
-            self.resume()
             self.reject(503)  # no endpoint has received the last byte, so none has executed it
 
     # -- requests, as the parser reports them
--- a/gateusher/listeners/unread_input.py
+++ b/gateusher/listeners/unread_input.py
@@ -26,7 +26,9 @@
         self._resumed_s = -inf
 
     def reading_resumed(self, now_s: float, pause_s: float) -> None:
-        """Reading resumes after a pause of `pause_s`."""
+        """Reading resumes after a pause of `pause_s`; no input waited if that ends in the read in which it began."""
+        if pause_s <= 0.0:
+            return
         self._resumed_s = now_s
         self._last_pause_s = pause_s
 
--- a/gateusher/upstream/upload.py
+++ b/gateusher/upstream/upload.py
@@ -8,8 +8,9 @@
 regardless of its class.
 
 An `Upload` owns the retained bytes and their reservation of memory.  It has one source and at most one target at a
-time, and slows the source to the target's speed: the source is paused while the target's socket is full, or while
-there is neither a target nor memory.  This module uses no sockets.
+time, and slows the source to the target's speed: until the body is complete, the source is paused while the target's
+socket is full, or while there is neither a target nor memory.  No pause outlasts the body or the upload: nobody else
+would end it, and the source may have more to deliver than this body.  This module uses no sockets.
 """
 
 from __future__ import annotations
@@ -96,8 +97,9 @@
             self.pause()
 
     def finish(self) -> None:
-        """End the body: the source has delivered the last byte."""
+        """End the body: the source has delivered the last byte, possibly in the read in which it was paused."""
         self.is_complete = True
+        self.resume()
         if self._target:
             self._target.finish()
 
@@ -135,9 +137,10 @@
             self._source.resume()
 
     def release(self) -> None:
-        """Free the retained bytes: the request is finished."""
+        """Free the retained bytes and let the source deliver what follows: the request is finished."""
         self._target = None
         self._discard()
+        self.resume()
 
     def _discard(self) -> None:
         self.is_discarded = True
--- a/tests/bulk.py
+++ b/tests/bulk.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -43,19 +44,28 @@
             await asyncio.sleep(0.005)
 
 
+PART_BYTES = 50001
+PAUSE_AFTER_BYTES = 6 * PART_BYTES
+
+
 class UploadEndpoint:
     """An endpoint that reads requests with bodies, and does with each what its script says."""
 
-    def __init__(self, *script: str) -> None:
+    def __init__(self, *script: str, receive_buffer_bytes: int = 0) -> None:
         self.script = list(script)
+        self.receive_buffer_bytes = receive_buffer_bytes  # 0 for the kernel's default
         self.complete_bodies: list[tuple[int, bytes]] = []  # size and digest
         self.begun = asyncio.Event()
         self.broken = asyncio.Event()
         self.may_read = asyncio.Event()
+        self.paused = asyncio.Event()
         self.heads: list[bytes] = []
 
     async def start(self) -> None:
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=1 << 16)
+        if self.receive_buffer_bytes:
+            (listening,) = self.server.sockets
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_buffer_bytes)
         self.port = self.server.sockets[0].getsockname()[1]
 
     async def _serve(self, reader: Reader, writer: Writer) -> None:
@@ -75,6 +85,11 @@
                 async for part in self._parts(head, reader):
                     size += len(part)
                     digest.update(part)
+                    if action == "pause" and size >= PAUSE_AFTER_BYTES and not self.paused.is_set():
+                        writer.transport.pause_reading()  # type: ignore[attr-defined]
+                        self.paused.set()
+                        await self.may_read.wait()
+                        writer.transport.resume_reading()  # type: ignore[attr-defined]
                     if action == "reset" and size > 100000:
                         writer.transport.abort()
                         return
@@ -116,12 +131,13 @@
     if chunks:
         length_headers = b"Transfer-Encoding: chunked\r\n"
         parts = [
-            b"%x\r\n%b\r\n" % (len(data[a : a + 50001]), data[a : a + 50001]) for a in range(0, len(data), 50001)
+            b"%x\r\n%b\r\n" % (len(data[a : a + PART_BYTES]), data[a : a + PART_BYTES])
+            for a in range(0, len(data), PART_BYTES)
         ]
         parts.append(b"0\r\n\r\n")
     else:
         length_headers = b"Content-Length: %d\r\n" % len(data)
-        parts = [data[a : a + 50001] for a in range(0, len(data), 50001)]
+        parts = [data[a : a + PART_BYTES] for a in range(0, len(data), PART_BYTES)]
     head = (
         idempotent_request(rid, deadline, length_headers)
         if idempotent
--- /dev/null
+++ b/tests/listeners/test_unread_input.py
@@ -0,0 +1,23 @@
+"""How long input is taken to have waited unread, after pauses in reading."""
+
+from typing import Any
+
+from gateusher.core.backlog import Backlog
+from gateusher.listeners.unread_input import ACCURACY_MS, UnreadInput
+
+
+class TransportWithoutTcpInfo:
+    """A transport whose kernel doesn't tell when data last arrived."""
+
+    def get_extra_info(self, name: str) -> None:
+        return None
+
+
+def test_a_pause_within_one_read_does_not_hide_the_pause_before_it() -> None:
+    """A pipelined request that waited for 3 s counts them, though the body before it paused and ended in one read."""
+    transport: Any = TransportWithoutTcpInfo()
+    unread_input = UnreadInput(0.0, accept_was_late=False)
+    unread_input.has_received_request = True
+    unread_input.reading_resumed(now_s=10.0, pause_s=3.0)
+    unread_input.reading_resumed(now_s=10.0, pause_s=0.0)
+    assert unread_input.unread_ms(10.0, Backlog(100.0), transport) == 3000.0 - ACCURACY_MS
--- /dev/null
+++ b/tests/test_paused_uploads.py
@@ -0,0 +1,141 @@
+"""Reading from a client is paused for the sake of its upload alone, and resumed on every end of that upload."""
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+import pytest
+
+from gateusher.upstream.connection import Connection
+
+from .bulk import (
+    PART_BYTES,
+    PAUSE_AFTER_BYTES,
+    UploadEndpoint,
+    read_response,
+    run_sidecar_with_limits,
+    send_parts,
+    upload_parts,
+)
+from .helpers import HANG_TIMEOUT_S
+from .net import Endpoint, Reader, RunningSidecar, Writer, idempotent_request, run, status
+
+SMALL_BUFFER_BYTES = 4096  # of a socket, so that the kernel holds little of a body
+
+
+@asynccontextmanager
+async def scarce_memory(r: RunningSidecar) -> AsyncIterator[None]:
+    """Reserve over half of the memory, as the bodies of other clients do."""
+    memory = r.sidecar.node.memory
+    size = memory.limit // 2 + 1
+    assert memory.acquire(size)
+    yield
+    memory.release(size)
+
+
+async def wait_until(condition: Callable[[], object]) -> None:
+    async with asyncio.timeout(HANG_TIMEOUT_S):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+async def receive(reader: Reader) -> int:
+    """Return the status of the next response."""
+    head, _, is_complete = await asyncio.wait_for(read_response(reader), HANG_TIMEOUT_S)
+    assert is_complete
+    return status(head)
+
+
+async def expect_next_request_and_close_read(r: RunningSidecar, reader: Reader, writer: Writer, answer: int) -> None:
+    """Send another request on the connection, then close it: the sidecar must read both."""
+    writer.write(idempotent_request("next"))
+    assert await receive(reader) == answer
+    writer.close()
+    await wait_until(lambda: not r.sidecar.server.connection_count)
+
+
+@pytest.fixture
+def small_send_buffers(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let the kernel accept little of what is written to an endpoint that does not read."""
+    connection_made = Connection.connection_made
+
+    def connect_with_small_buffer(connection: Connection, transport: asyncio.BaseTransport) -> None:
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
+        connection_made(connection, transport)
+
+    monkeypatch.setattr(Connection, "connection_made", connect_with_small_buffer)
+
+
+@pytest.mark.parametrize("chunks", [False, True])
+@pytest.mark.parametrize("size", [1, 1000, 50000])
+def test_a_body_complete_before_its_connection_is_up_leaves_the_client_read(size: int, chunks: bool) -> None:
+    """Guards against a pause that outlives its upload: the next request and the close were never read (review/2)."""
+
+    async def test() -> None:
+        endpoint = UploadEndpoint()
+        async with run_sidecar_with_limits(endpoint, memory_mb=16) as r, scarce_memory(r):
+            reader, writer = await r.connect()
+            writer.write(b"".join(upload_parts(bytes(size), chunks)))
+            assert await receive(reader) == 200
+            assert [complete_size for complete_size, _ in endpoint.complete_bodies] == [size]
+            await expect_next_request_and_close_read(r, reader, writer, 200)
+
+    run(test())
+
+
+def test_a_complete_body_that_no_endpoint_takes_leaves_the_client_read() -> None:
+    """Guards against a pause that outlives an upload which is refused: it ended without ever having a connection."""
+
+    async def test() -> None:
+        endpoint = Endpoint()
+        async with run_sidecar_with_limits(endpoint, memory_mb=16) as r, scarce_memory(r):  # type: ignore[arg-type]
+            endpoint.server.close()
+            reader, writer = await r.connect()
+            writer.write(b"".join(upload_parts(bytes(1000), False)))
+            assert await receive(reader) == 503
+            await expect_next_request_and_close_read(r, reader, writer, 503)
+
+    run(test())
+
+
+@pytest.mark.parametrize("chunks", [False, True])
+@pytest.mark.usefixtures("small_send_buffers")
+def test_a_last_part_that_fills_the_endpoints_socket_leaves_the_client_read(chunks: bool) -> None:
+    """Guards against a pause in the last read: its body's end lifted no pause, and neither did the drained socket."""
+
+    async def test() -> None:
+        endpoint = UploadEndpoint("pause", receive_buffer_bytes=SMALL_BUFFER_BYTES)
+        async with run_sidecar_with_limits(endpoint) as r:
+            reader, writer = await r.connect()
+            parts = upload_parts(bytes(PAUSE_AFTER_BYTES + PART_BYTES), chunks)
+            first_count = 1 + PAUSE_AFTER_BYTES // PART_BYTES
+            writer.write(b"".join(parts[:first_count]))
+            await asyncio.wait_for(endpoint.paused.wait(), HANG_TIMEOUT_S)
+            (request,) = r.sidecar.engine.requests.values()
+            assert request.upload and not request.upload.is_complete
+            writer.write(b"".join(parts[first_count:]))
+            await wait_until(lambda: request.upload and request.upload.is_complete)
+            assert not request.may_have_run, "the endpoint's socket has taken the last part at once"
+            endpoint.may_read.set()
+            assert await receive(reader) == 200
+            await expect_next_request_and_close_read(r, reader, writer, 200)
+
+    run(test())
+
+
+def test_the_rest_of_an_unusable_body_is_read_so_that_its_error_arrives() -> None:
+    """Guards against a close over unread input, which resets the connection and may destroy the error."""
+
+    async def test() -> None:
+        endpoint = UploadEndpoint()
+        async with run_sidecar_with_limits(endpoint, memory_mb=16) as r, scarce_memory(r):
+            reader, writer = await r.connect()
+            head, first_part, *_ = upload_parts(bytes(1000), True)
+            await send_parts(writer, [head + first_part + b"no chunk\r\n", bytes(12 << 20)])
+            assert await receive(reader) == 400
+            assert await asyncio.wait_for(reader.read(), HANG_TIMEOUT_S) == b""
+            writer.close()
+            await wait_until(lambda: not r.sidecar.server.connection_count)
+
+    run(test())
--- a/tests/upstream/test_upload.py
+++ b/tests/upstream/test_upload.py
@@ -86,7 +86,7 @@
             memory.release(other_bytes)
             other_bytes = min(n, max(0, MEMORY_BYTES - memory.in_use))
             memory.acquire(other_bytes)
-        elif step == "finish" and not source.paused and not upload.is_complete:
+        elif step == "finish" and not upload.is_complete:  # of a paused source too: in the read that led to the pause
             upload.finish()
         if target:
             assert target.received == DATA[:fed_bytes] and target.complete is upload.is_complete
@@ -99,6 +99,7 @@
         assert not (upload.is_complete and source.paused)
     upload.release()
     assert memory.in_use == other_bytes and upload.is_discarded
+    assert not source.paused, "the client's next request is never read"
 
 
 def test_scarce_memory_pauses_the_source_until_there_is_a_target() -> None:
