Uploads: a socket filled by the first write keeps the client paused

What callers saw: nothing at once; the process held what it should not. An endpoint that reads nothing, on a socket that takes a part of the first write: 16.6 MB of one body stood in the transport's buffer, beside the memory budget, where about 1 MiB is meant.

Cause: `Upload.attach` wrote the retained bytes and then resumed the client in any case, also where that very write had filled the socket and paused it. The transport tells of a full buffer once, so nothing paused the client again until the buffer had drained.

Evidence: the order of calls (attach, write, pause, resume) and the transport's buffer in tests/test_paused_uploads.py::test_an_endpoint_that_reads_nothing_stops_the_client; it and the property test, whose targets may now be full after their first write, failed before. On loopback with the kernel's usual buffers the first write of 1.1 MB went through whole.

The fix: the upload keeps the two reasons of a pause apart, a full target and no target, and derives from them, in one place, whether the source is paused. So no event can undo another's reason, and the end of the body or of the upload ends both.

--- a/gateusher/upstream/upload.py
+++ b/gateusher/upstream/upload.py
@@ -9,8 +9,9 @@
 
 An `Upload` owns the retained bytes and their reservation of memory.  It has one source and at most one target at a
 time, and slows the source to the target's speed: until the body is complete, the source is paused while the target's
-socket is full, or while there is neither a target nor memory.  No pause outlasts the body or the upload: nobody else
-would end it, and the source may have more to deliver than this body.  This module uses no sockets.
+socket is full, or while there is neither a target nor memory.  A pause ends with its reason, with the body or with
+the upload, whichever is first: nobody else would end it, and the source may have more to deliver than this body.
+This module uses no sockets.
 """
 
 from __future__ import annotations
@@ -64,6 +65,8 @@
         self._memory = memory
         self._retained = retained
         self._target: UploadTarget | None = None
+        self._target_is_full = False  # its socket accepts nothing more for now
+        self._awaits_target = False  # nothing more may be retained without a target
         self._source_is_paused = False
 
     @property
@@ -74,7 +77,8 @@
     def on_request_submitted(self) -> None:
         """Pause the source of an accepted request if memory is scarce and there is no target yet."""
         if self._memory.is_scarce and self._target is None and not self.is_discarded:
-            self.pause()
+            self._awaits_target = True
+            self._update_source()
 
     def feed(self, data: bytes) -> None:
         """Take the next bytes from the source."""
@@ -94,12 +98,13 @@
             # Without a target the bytes can't be forwarded: they are retained, and the source is paused.
             self._memory.acquire(len(data), may_exceed=True)
             self._retained += data
-            self.pause()
+            self._awaits_target = True
+            self._update_source()
 
     def finish(self) -> None:
         """End the body: the source has delivered the last byte, possibly in the read in which it was paused."""
         self.is_complete = True
-        self.resume()
+        self._update_source()
         if self._target:
             self._target.finish()
 
@@ -107,6 +112,7 @@
         """Deliver to this target from the first byte on; not allowed beside another target or after a discard."""
         assert self._target is None and not self.is_discarded
         self._target = target
+        self._awaits_target = False
         if self._retained:
             target.write(bytes(self._retained))
             if len(self._retained) > MAX_REPLAY_BYTES:
@@ -115,32 +121,47 @@
             return  # its connection closed during the write
         if self.is_complete:
             target.finish()
-        else:
-            self.resume()
+        self._update_source()
 
     def detach(self) -> None:
-        """Remove the target, as its attempt has ended."""
+        """Remove the target, as its attempt has ended.
+
+        A paused source waits for the next target.  If there can be none, the remainder of the body is dropped, so
+        that the client gets to reading the response.
+        """
         self._target = None
-        if self.is_discarded:
-            self.resume()  # the remainder is dropped, so that the client gets to reading the response
+        self._target_is_full = False
+        self._awaits_target = self._source_is_paused and not self.is_discarded
+        self._update_source()
 
     def pause(self) -> None:
-        """Pause the source: the target's socket is full, or memory is scarce and there is no target."""
-        if not self._source_is_paused and not self.is_complete:
-            self._source_is_paused = True
-            self._source.pause()
+        """Pause the source: the target's socket is full."""
+        self._target_is_full = True
+        self._update_source()
 
     def resume(self) -> None:
-        """Resume the source."""
-        if self._source_is_paused:
-            self._source_is_paused = False
-            self._source.resume()
+        """Resume the source: the target's socket accepts more."""
+        self._target_is_full = False
+        self._update_source()
 
     def release(self) -> None:
         """Free the retained bytes and let the source deliver what follows: the request is finished."""
         self._target = None
+        self._target_is_full = False
+        self._awaits_target = False
         self._discard()
-        self.resume()
+        self._update_source()
+
+    def _update_source(self) -> None:
+        """Pause or resume the source if its state is not the one wanted now."""
+        wants_pause = not self.is_complete and (self._target_is_full or self._awaits_target)
+        if wants_pause == self._source_is_paused:
+            return
+        self._source_is_paused = wants_pause
+        if wants_pause:
+            self._source.pause()
+        else:
+            self._source.resume()
 
     def _discard(self) -> None:
         self.is_discarded = True
--- a/tests/test_paused_uploads.py
+++ b/tests/test_paused_uploads.py
@@ -8,6 +8,7 @@
 import pytest
 
 from gateusher.upstream.connection import Connection
+from gateusher.upstream.upload import MAX_REPLAY_BYTES
 
 from .bulk import (
     PART_BYTES,
@@ -17,10 +18,12 @@
     run_sidecar_with_limits,
     send_parts,
     upload_parts,
+    wait_until_finished,
 )
 from .helpers import HANG_TIMEOUT_S
 from .net import Endpoint, Reader, RunningSidecar, Writer, idempotent_request, run, status
 
+MAX_READ_BYTES = 256 << 10  # the event loop reads no more at once
 SMALL_BUFFER_BYTES = 4096  # of a socket, so that the kernel holds little of a body
 
 
@@ -124,6 +127,34 @@
     run(test())
 
 
+@pytest.mark.usefixtures("small_send_buffers")
+def test_an_endpoint_that_reads_nothing_stops_the_client() -> None:
+    """Guards against a pause that is lost: a socket filled by the first write no longer stopped the client."""
+
+    async def test() -> None:
+        endpoint = UploadEndpoint("read nothing", receive_buffer_bytes=SMALL_BUFFER_BYTES)
+        async with run_sidecar_with_limits(endpoint) as r:
+            reader, writer = await r.connect()
+            sending = asyncio.create_task(send_parts(writer, upload_parts(bytes(16 << 20), False, deadline="60")))
+            await asyncio.wait_for(endpoint.begun.wait(), HANG_TIMEOUT_S)
+            (request,) = r.sidecar.engine.requests.values()
+            (attempt,) = request.attempts.values()
+            assert isinstance(attempt.connection, Connection) and attempt.connection._transport
+            unsent_bytes = 0
+            for _ in range(50):
+                await asyncio.sleep(0.01)
+                unsent_bytes = max(unsent_bytes, attempt.connection._transport.get_write_buffer_size())
+            assert unsent_bytes <= MAX_REPLAY_BYTES + MAX_READ_BYTES
+            assert not sending.done()
+            endpoint.may_read.set()
+            await asyncio.wait_for(sending, HANG_TIMEOUT_S)
+            assert await receive(reader) == 200
+            writer.close()
+            await wait_until_finished(r)
+
+    run(test())
+
+
 def test_the_rest_of_an_unusable_body_is_read_so_that_its_error_arrives() -> None:
     """Guards against a close over unread input, which resets the connection and may destroy the error."""
 
--- a/tests/upstream/test_upload.py
+++ b/tests/upstream/test_upload.py
@@ -27,14 +27,21 @@
 
 
 class Target:
-    """An attempt that records the bytes it received and whether the body is complete."""
+    """An attempt that records the bytes it received and whether the body is complete.
 
-    def __init__(self) -> None:
+    Its first write fills its socket, and so pauses `full_for` if that is given.
+    """
+
+    def __init__(self, full_for: Upload | None = None) -> None:
         self.received, self.complete = bytearray(), False
+        self._full_for = full_for
 
     def write(self, data: bytes) -> None:
         assert not self.complete
         self.received += data
+        if self._full_for:
+            self._full_for.pause()
+            self._full_for = None
 
     def finish(self) -> None:
         assert not self.complete
@@ -45,7 +52,7 @@
     st.one_of(
         st.tuples(st.just("feed"), st.integers(1, MAX_REPLAY_BYTES)),
         st.tuples(st.just("feed"), st.just(MAX_REPLAY_BYTES // 2)),
-        st.tuples(st.just("attach"), st.just(0)),
+        st.tuples(st.just("attach"), st.integers(0, 1)),
         st.tuples(st.just("detach"), st.just(0)),
         st.tuples(st.just("pause"), st.just(0)),
         st.tuples(st.just("resume"), st.just(0)),
@@ -70,9 +77,9 @@
             upload.feed(DATA[fed_bytes : fed_bytes + n])
             fed_bytes += n
         elif step == "attach" and target is None and not upload.is_discarded:
-            target = Target()
+            target = Target(full_for=upload if n else None)
             upload.attach(target)
-            assert not source.paused or upload.is_complete
+            assert source.paused == bool(n and fed_bytes and not upload.is_complete)
         elif step == "detach" and target:
             upload.detach()
             target = None
