--- a/checker/mutate.py
+++ b/checker/mutate.py
@@ -40,6 +40,7 @@
     "gateusher.listeners.classification": (),
     "gateusher.listeners.client_connection": (),
     "gateusher.listeners.http_request": (),
+    "gateusher.listeners.read_pause": (),
     "gateusher.listeners.receive_timer": (),
     "gateusher.listeners.request_parser": (),
     "gateusher.listeners.response_writer": (),
--- a/gateusher/base/diagnostics.py
+++ b/gateusher/base/diagnostics.py
@@ -23,6 +23,7 @@
     NO_REFUSAL_OF_WHAT_MAY_HAVE_RUN = "an unsafe request that may have run was to be refused"
     NO_ATTEMPT_FOR_NOBODY = "a connection came up with an attempt that nobody waits for any more"
     NO_CLOSE_WITH_ANSWERS_OWED = "a client's connection was closed with a request taken and not answered"
+    NO_PAUSE_WITHOUT_UPLOAD = "reading from a client stayed paused with no upload in progress"
     NO_EVENT_UNHANDLED = "an event could not be handled by the policy, or an action could not be performed"
 
 
--- a/gateusher/listeners/client_connection.py
+++ b/gateusher/listeners/client_connection.py
@@ -25,6 +25,7 @@
 from .classification import ACCEPTED, ANSWERED, RequestListener, parse_deadline_ms, submit_request
 from .close_reason import UNREACHABLE_CLIENT, CloseReason
 from .http_request import HttpRequest
+from .read_pause import ReadPause
 from .receive_timer import ReceiveTimer
 from .request_parser import RequestParser, UnusableRequestError
 from .unread_input import UnreadInput
@@ -83,7 +84,7 @@
         self._poller = select.poll()
         self._buffered_body = bytearray()
         self._uploading: HttpRequest | None = None  # the request whose body is forwarded while it is received
-        self._upload_paused_at_s = 0.0  # since when its endpoint's backpressure stops reading; 0 for not
+        self._read_pause = ReadPause(self._receive_timer, self._unread_input)  # for that body
 
     # -- asyncio.Protocol
 
@@ -191,7 +192,7 @@
         """
         if self._closing:
             return False
-        if self._parser.in_request and not self._unanswered and not self._upload_paused_at_s:
+        if self._parser.in_request and not self._unanswered and not self._read_pause.is_active:
             return self._receive_timer.is_reclaimable(now_s)
         return self.is_idle and (self._has_begun_request or now_s - self.last_active_s > NEW_CONNECTION_GRACE_S)
 
@@ -232,13 +233,16 @@
 
     def enforce_time_limits(self, now_s: float) -> None:
         """End whatever makes no progress; called at regular intervals."""
+        if self._read_pause.is_active and self._uploading is None:
+            self._owner.engine.diagnostics.record_violation(Invariant.NO_PAUSE_WITHOUT_UPLOAD)
+            self.resume()
         inactive_s = now_s - self.last_active_s
         if (self._write_blocked or self._closing) and inactive_s > WRITE_STALL_TIMEOUT_S and self._transport:
             self._abort(CloseReason.RESPONSE_NOT_READ)
         elif self._discards_input:
             if not self._unanswered and inactive_s > LINGERING_CLOSE_S:
                 self.close(CloseReason.LINGERED)
-        elif self._parser.in_request and self._upload_paused_at_s:
+        elif self._read_pause.is_active:
             self._check_paused_upload(now_s)
         elif self._parser.in_request:
             if self._receive_timer.is_overdue(now_s, self._parser):
@@ -252,7 +256,7 @@
     def _check_paused_upload(self, now_s: float) -> None:
         if self.has_disconnected:
             self._abort(CloseReason.CLIENT_DISCONNECTED)  # reading is paused, so no end of file is reported
-        elif now_s - self._upload_paused_at_s > UPLOAD_BACKPRESSURE_TIMEOUT_S:
+        elif self._read_pause.elapsed_s(now_s) > UPLOAD_BACKPRESSURE_TIMEOUT_S:
             self.reject(503)  # no endpoint has received the last byte, so none has executed it
 
     # -- requests, as the parser reports them
@@ -342,21 +346,11 @@
 
     def pause(self) -> None:
         """Stop reading: the endpoint accepts no more of the body for now."""
-        if self._transport and not self._transport.is_closing():
-            self._upload_paused_at_s = self._owner.loop.time()
-            self._transport.pause_reading()
+        self._read_pause.begin(self._transport, self._owner.loop.time())
 
     def resume(self) -> None:
         """Resume reading."""
-        if not self._upload_paused_at_s:
-            return
-        now_s = self._owner.loop.time()
-        pause_s = now_s - self._upload_paused_at_s
-        self._unread_input.reading_resumed(now_s, pause_s)
-        self._receive_timer.reading_resumed(now_s, pause_s)
-        self._upload_paused_at_s = 0.0
-        if self._transport and not self._transport.is_closing():
-            self._transport.resume_reading()
+        self._read_pause.end(self._transport, self._owner.loop.time())
 
     def _unread_ms(self) -> float:
         return self._unread_input.unread_ms(self._owner.loop.time(), self._owner.engine.backlog, self._transport)
--- a/tests/test_paused_uploads.py
+++ b/tests/test_paused_uploads.py
@@ -7,8 +7,9 @@
 
 import pytest
 
+from gateusher.base.diagnostics import Invariant
 from gateusher.upstream.connection import Connection
-from gateusher.upstream.upload import MAX_REPLAY_BYTES
+from gateusher.upstream.upload import MAX_REPLAY_BYTES, Upload
 
 from .bulk import (
     PART_BYTES,
@@ -170,3 +171,26 @@
             await wait_until(lambda: not r.sidecar.server.connection_count)
 
     run(test())
+
+
+def pause_only(upload: Upload) -> None:
+    """Take the place of `Upload._update_source`, and resume nobody."""
+    if upload._awaits_target and not upload.is_complete and not upload._source_is_paused:
+        upload._source_is_paused = True
+        upload._source.pause()
+
+
+@pytest.mark.expects_violation(Invariant.NO_PAUSE_WITHOUT_UPLOAD)
+def test_a_pause_that_outlives_its_upload_is_recorded_and_ended(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against such a pause from a fault not known yet: it is counted, and the client is read all the same."""
+    monkeypatch.setattr(Upload, "_update_source", pause_only)
+
+    async def test() -> None:
+        async with run_sidecar_with_limits(UploadEndpoint(), memory_mb=16) as r, scarce_memory(r):
+            reader, writer = await r.connect()
+            writer.write(b"".join(upload_parts(bytes(1000), False)))
+            assert await receive(reader) == 200
+            await expect_next_request_and_close_read(r, reader, writer, 200)
+            assert r.sidecar.engine.diagnostics.violations == {Invariant.NO_PAUSE_WITHOUT_UPLOAD: 1}
+
+    run(test())
