--- a/tests/test_paused_uploads.py
+++ b/tests/test_paused_uploads.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import socket
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
 import pytest
@@ -21,7 +21,7 @@
     upload_parts,
     wait_until_finished,
 )
-from .helpers import HANG_TIMEOUT_S
+from .helpers import HANG_TIMEOUT_S, wait_until
 from .net import Endpoint, Reader, RunningSidecar, Writer, idempotent_request, run, status
 
 MEMORY_LIMIT_MB = 16  # of the sidecar, and so under its longest body
@@ -38,12 +38,6 @@
     memory.release(size)
 
 
-async def wait_until(condition: Callable[[], object]) -> None:
-    async with asyncio.timeout(HANG_TIMEOUT_S):
-        while not condition():
-            await asyncio.sleep(0.005)
-
-
 async def receive(reader: Reader) -> int:
     """Return the status of the next response."""
     head, _, is_complete = await asyncio.wait_for(read_response(reader), HANG_TIMEOUT_S)
