--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,10 +1,9 @@
-"""An answer whose length doesn't fit, being too short: is a part of it served as if it were the whole?"""
+"""A bad client says too short a length: is a part of its body passed on as a request, and served?"""
 
 from __future__ import annotations
 
 import asyncio
 from pathlib import Path
-from random import Random
 
 from stage import (
     BROKEN,
@@ -25,59 +24,48 @@
 
 from gateusher.standins.wire import DiscoveryServer
 
-SPOILT_SHARE = 0.1
-CLIENTS = 4
-PLAY_S = 8.0
-
-
-def body_of(request_id: str) -> bytes:
-    """Return the body that an endpoint makes for a request."""
-    return f'{{"request":"{request_id}","pallet":4711,"bay":"12-C","weight_kg":1250}}'.encode()
+REQUESTS = 20
+BODY = b'{"sender":"17","pallets":40,"to":"Taichung","cash_on_delivery":1250}'
+MISSING_BYTES = 30
 
 
 async def case(record: Record) -> int:
     """Play the case."""
-    random = Random()
+    ran: dict[str, bytes] = {}
 
     async def serve(connection: Connection, request: Request) -> None:
-        body = body_of(request.request_id)
-        length = None
-        if trouble() and random.random() < SPOILT_SHARE:
-            length = len(body) - random.randint(2, 30)
-            record.note("endpoint", f"says {length} of the {len(body)} bytes of its answer to {request.request_id}")
-        connection.writer.write(encode_answer(body, length))
+        ran[request.request_id] = request.body
+        record.note("endpoint", f"runs {request.request_id} with the body {request.body!r}")
+        connection.writer.write(encode_answer(b"done"))
 
     discovery = DiscoveryServer()
-    await start_endpoints(discovery, ("east", "east", "west", "west"), record, serve)
-    sidecar = Sidecar(discovery, make_settings([lane("pallet-lookup", "idempotent")]), record)
-    wrong: list[str] = []
-    served = 0
-
-    async def play(number: int) -> None:
-        nonlocal served
-        client = Client(sidecar.port, record)
-        until_s = asyncio.get_running_loop().time() + PLAY_S
-        while asyncio.get_running_loop().time() < until_s:
-            request_id = f"{number:02x}{random.getrandbits(56):014x}"
-            answer = await client.ask("GET", "/pallet-lookup", request_id)
-            if answer.status == 200 and answer.whole:
-                served += 1
-                if answer.body != body_of(request_id):
-                    wrong.append(request_id)
-                    record.note("client", f"WRONG: {request_id} was served whole with {answer.body!r}")
-            await asyncio.sleep(0.01)
-        client.close()
-
+    await start_endpoints(discovery, ("east", "east", "west"), record, serve)
+    sidecar = Sidecar(discovery, make_settings([lane("consign-issue", "at_most_once")]), record)
+    served_wrongly: list[str] = []
+    answered = 0
     try:
         await sidecar.start()
-        await asyncio.gather(*(play(number) for number in range(CLIENTS)))
+        for number in range(REQUESTS):
+            is_wrong = trouble() and number % 2 == 1
+            request_id = f"{number:016x}"
+            fields = f"Content-Length: {len(BODY) - MISSING_BYTES}\r\n" if is_wrong else ""
+            client = Client(sidecar.port, record)
+            answer = await client.ask("POST", "/consign-issue", request_id, fields, BODY)
+            client.close()
+            answered += answer.status == 200
+            if is_wrong and (answer.status == 200 or request_id in ran):
+                served_wrongly.append(request_id)
+                record.note(
+                    "client", f"WRONG: {request_id} was answered {answer.status}, ran {ran.get(request_id)!r}"
+                )
+            await asyncio.sleep(0.05)
     finally:
         sidecar.close()
         discovery.close()
-    if not served:
+    if not answered:
         raise CouldNotRunError("nothing was served")
-    record.note("case", f"{served} served, {len(wrong)} of them with a part of the answer")
-    return BROKEN if wrong else HELD
+    record.note("case", f"{len(served_wrongly)} requests with a wrong length were passed on")
+    return BROKEN if served_wrongly else HELD
 
 
 if __name__ == "__main__":
--- a/review/common-2/stage.py
+++ b/review/common-2/stage.py
@@ -12,6 +12,7 @@
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import tempfile
 import time
@@ -102,6 +103,18 @@
     return body
 
 
+async def skim_chunks(reader: Reader) -> int:
+    """Read a body in chunks to its end without taking it apart, and return its length on the wire."""
+    length, tail = 0, b""
+    while not tail.endswith(b"\r\n0\r\n\r\n"):
+        data = await reader.read(262144)
+        if not data:
+            raise asyncio.IncompleteReadError(tail, None)
+        length += len(data)
+        tail = (tail + data)[-7:]
+    return length
+
+
 def free_port() -> int:
     """Return a port that is free now."""
     with socket.socket() as sock:
@@ -109,6 +122,13 @@
         return int(sock.getsockname()[1])
 
 
+def reset(writer: Writer) -> None:
+    """Reset a connection, as the process of its other end does when it dies."""
+    if not writer.transport.is_closing():
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
+
+
 class Connection:
     """A connection to an endpoint, as its behaviour uses it."""
 
@@ -119,9 +139,7 @@
 
     def reset(self) -> None:
         """Reset the connection."""
-        sock = self.writer.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
-        self.writer.transport.abort()
+        reset(self.writer)
 
 
 Behaviour = Callable[[Connection, Request], Awaitable[None]]
@@ -149,9 +167,14 @@
                 connection.requests += 1
                 first, headers = parse_head(begin + await reader.readuntil(b"\r\n\r\n"))
                 method, target, _ = first.split(" ")
-                request = Request(method, target, headers, await read_body(reader, headers))
+                if headers.get("transfer-encoding", "").lower() == "chunked":
+                    body, length = b"", await skim_chunks(reader)
+                else:
+                    body = await read_body(reader, headers)
+                    length = len(body)
+                request = Request(method, target, headers, body)
                 if request.request_id:
-                    self._record.note(self.name, f"received {request.request_id}, {len(request.body)} bytes of body")
+                    self._record.note(self.name, f"received {request.request_id}, {length} bytes of body")
                     await self._behaviour(connection, request)
                 else:
                     writer.write(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
@@ -211,7 +234,7 @@
                 await asyncio.sleep(self._delay_s * 2)
             sink.close()
         except OSError:
-            sink.transport.abort()
+            reset(sink)
 
     def _write_late(self, sink: Writer, data: bytes, due_s: float) -> None:
         self.late_s.append(asyncio.get_running_loop().time() - due_s)
