Upstream: a response with foreign data behind it is not served

Cause: bytes behind a complete response only closed the connection (COMPLETE_WITH_EXTRA was handled like COMPLETE), and a streamed body was passed on from within the parser's callback, before the rest of the same read was looked at. A read that ended with the declared length was not followed by a look at the socket.

Change: heads and bodies of known length are parsed apart from what follows, so no byte behind a message is unnoticed (base/head_boundary.py). If more is waiting in the socket, the response waits for it. Why this works: a rest of a body or another request's response differs from the response itself; noise can't be told from a rest of a body.

A sharper form (any sound response may follow) would have served noise no better and trusted a rejection that another response follows.

The state "awaiting response" can no longer become invalid: an interim response with `Connection: close` does not end the parser's input any more, and all other data begins a message first.

--- a/gateusher/upstream/connection.py
+++ b/gateusher/upstream/connection.py
@@ -138,6 +138,7 @@
 
         self._parser = ResponseParser(self, pool.memory, pool.is_served_status)
         self._stream: EndpointBodyStream | None = None
+        self._unforwarded_parts: list[bytes] = []  # of its body, from the latest read
 
     def transition(self, event: str) -> None:
         """Apply an event to the state; called by the connection and its parser.  Raises IllegalTransitionError."""
@@ -305,40 +306,57 @@
     def data_received(self, data: bytes) -> None:
         """Parse data that was read, and act on the resulting state (asyncio.Protocol)."""
         self.last_received_ms = self.endpoint.last_received_ms = self._pool.clock.now_ms()
-        if self.attempt is None and self.state != STREAMING:
+        if self.attempt is None and self._stream is None:
             self._pool.discard_idle(self)
             return
-        parser = self._parser
-        parser.feed(data)
-        state = self.state
-        if self.attempt is None:
-            if state in (COMPLETE, COMPLETE_WITH_EXTRA):
-                self._complete_stream()
-            elif state == INVALID:
-                self.cut_stream()
-        elif state in (COMPLETE, COMPLETE_WITH_EXTRA):
-            self._complete_response()
-        elif parser.exceeds_buffer and state == READING_BODY:
+        self._parser.feed(data)
+        self._handle_response()
+
+    def _handle_response(self) -> None:
+        """Act on the state after data was parsed."""
+        parser, state = self._parser, self.state
+        if state == COMPLETE:
+            if not self._has_unread_data:  # what follows the response is judged first
+                self._end_response()
+        elif state == COMPLETE_WITH_EXTRA:
+            if parser.is_repeated:
+                self._end_response()
+        elif state == STREAMING:
+            self._forward_streamed_body()
+        elif state == READING_BODY and parser.exceeds_buffer:
             self._start_streaming()
         elif state == INVALID or parser.head_bytes > MAX_HEAD_BYTES:
             self._abort_invalid_response()
 
+    @property
+    def _has_unread_data(self) -> bool:
+        """Whether more data, or the end of the stream, has arrived and is not read (one system call)."""
+        return bool(self._poller.poll(0))
+
+    def _end_response(self) -> None:
+        if self.attempt:
+            self._complete_response()
+        else:
+            self._complete_stream()
+
     def eof_received(self) -> None:
         """Handle the end of the stream, which may complete the response; the transport closes in any case."""
         # httptools can't be notified of the end.
         parser = self._parser
         if self.state in (READING_BODY, STREAMING) and parser.is_delimited_by_close:
-            parser.keep_alive = False
             self.transition(BODY_END)
-            if self.attempt:
-                self._complete_response()
-            else:
-                self._complete_stream()
+        self._end_complete_response()
+
+    def _end_complete_response(self) -> None:
+        """End a response that is complete, now that the connection ends and nothing follows it."""
+        if self.state == COMPLETE:
+            self._parser.keep_alive = False
+            self._end_response()
 
     @property
     def is_response_arriving(self) -> bool:
-        """Whether a final response has begun and is not complete."""
-        return self.state in (READING_HEAD, READING_BODY)
+        """Whether a final response has begun and is not complete, or not known to be alone."""
+        return self.state in (READING_HEAD, READING_BODY, COMPLETE, COMPLETE_WITH_EXTRA)
 
     @property
     def is_response_progressing(self) -> bool:
@@ -363,8 +381,11 @@
     def _abort_invalid_response(self) -> None:
         """End the attempt with ERROR if the request may have run, or CONNECT_FAILED if its last byte was not written.
 
-        The connection is closed.
+        The connection is closed.  A streamed response ends as incomplete.
         """
+        if self.attempt is None:
+            self.cut_stream()
+            return
         self.abort(Outcome.ERROR if self.request_is_written else Outcome.CONNECT_FAILED)
 
     # -- a response whose body is streamed
@@ -397,11 +418,20 @@
         attempt = self._detach_attempt()
         self._pool.end_attempt(attempt, Outcome.OK, parser.load_report, response)
 
-    def stream_body(self, data: bytes) -> bool:
-        """Deliver more of the body; return False if it exceeds the limit."""
-        return self._stream is None or self._stream.feed(data)
+    def stream_body(self, data: bytes) -> None:
+        """Deliver more of the body once what follows in the same read is judged."""
+        self._unforwarded_parts.append(data)
+
+    def _forward_streamed_body(self) -> bool:
+        """Deliver what was received of a streamed body; return False if the stream was cut, as that is too long."""
+        parts, self._unforwarded_parts = self._unforwarded_parts, []
+        if parts and self._stream and not self._stream.feed(b"".join(parts)):
+            self.cut_stream()
+        return self._stream is not None
 
     def _complete_stream(self) -> None:
+        if not self._forward_streamed_body():
+            return
         stream, self._stream = self._stream, None
         if self._parser.keep_alive and self.state == COMPLETE:
             self.resume_reading()  # the stream may have paused it just before the end
@@ -444,7 +474,7 @@
             self.state == IDLE
             and self._transport is not None
             and not self._transport.is_closing()
-            and not self._poller.poll(0)
+            and not self._has_unread_data
         )
 
     def abort(self, outcome: Outcome) -> None:
@@ -471,6 +501,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Handle the end of the connection, closed by either side (asyncio.Protocol)."""
         self._transport = None
+        self._end_complete_response()
         if self.state != CLOSED:
             self.transition(CLOSE)
         self._pool.on_connection_lost(self)
--- a/gateusher/upstream/response_parser.py
+++ b/gateusher/upstream/response_parser.py
@@ -12,8 +12,10 @@
 
 import httptools
 
+from ..base.head_boundary import HeadBoundary
 from ..base.limits import MemoryBudget, Reservation
 from ..policy.interface import Outcome
+from .duplicate_check import FIRST_FINAL_STATUS, NO_FIELDS, DuplicateCheck, Verdict, add_field
 from .interface import (
     FIELD_OBJECT_BYTES,
     HOP_BY_HOP_HEADERS,
@@ -25,7 +27,6 @@
     AWAITING_RESPONSE,
     BODY_END,
     COMPLETE,
-    COMPLETE_WITH_EXTRA,
     EXTRA_DATA,
     HEAD_END,
     INTERIM_END,
@@ -42,7 +43,9 @@
 MAX_HEAD_BYTES: Final = 65536
 MAX_HEAD_FIELDS: Final = 256
 
-FIRST_FINAL_STATUS: Final = 200  # lower statuses are interim responses (RFC 9110, 15.2)
+HTTP_VERSION_PREFIX: Final = b"HTTP/1."
+CHUNKED_END: Final = b"\r\n\r\n"  # the end of the last chunk's line or of a trailer field, and an empty line
+CHUNKED_END_BYTES: Final = len(CHUNKED_END) + 1  # with the byte before it
 SWITCHING_PROTOCOLS: Final = 101
 REJECTION_STATUSES: Final = (503, 504)  # with `X-Not-Run: 1` they prove that the request was not executed
 
@@ -64,8 +67,8 @@
     def accepts_streaming(self) -> bool:
         """Whether the request's sender accepts a response with an incomplete body."""
 
-    def stream_body(self, data: bytes) -> bool:
-        """Deliver more of a streamed body; return False if it exceeds the limit."""
+    def stream_body(self, data: bytes) -> None:
+        """Deliver more of a streamed body once what follows in the same read is judged."""
 
 
 class ResponseParser:
@@ -93,6 +96,9 @@
         self._memory = memory
         self._is_served_status = is_served_status
         self._http_parser = httptools.HttpResponseParser(self)
+        # Without it, data behind a response with `Connection: close` could not be told from a duplicate.
+        self._http_parser.set_dangerous_leniencies(lenient_keep_alive=True)
+        self._head_boundary = HeadBoundary()
         self._head_memory = Reservation(memory)
         self.started_ms = 0.0
         self.reset()
@@ -115,6 +121,12 @@
         self.closes_connection = False
         self.exceeds_buffer = False
         self._not_executed = False  # `X-Not-Run: 1`
+        self._fields_digest = NO_FIELDS
+        self._received_body_bytes = 0
+        self._max_wire_bytes = 0
+        self._wire_bytes = 0  # of the response and what follows it
+        self._chunked_tail = b""
+        self._duplicate: DuplicateCheck | None = None  # judges what follows the response
         self._began_early = False  # its first byte arrived before the last byte of the request was written
 
     def close(self) -> None:
@@ -124,20 +136,83 @@
         del self._connection
 
     def feed(self, data: bytes) -> None:
-        """Parse data that was read, and apply the resulting events to the connection's state."""
+        """Parse data that was read, and apply the resulting events to the connection's state.
+
+        Heads and bodies of known length are parsed apart from what follows them, so that no byte behind a response
+        remains unnoticed.
+        """
         connection = self._connection
+        start = 0
+        while start < len(data) and connection.state != INVALID:
+            end = self._piece_end(data, start)
+            self._feed_piece(data[start:end])
+            start = end
+        if connection.state in (READING_HEAD, READING_BODY):
+            self._head_memory.set(self.head_bytes + FIELD_OBJECT_BYTES * self._field_count)
+
+    def _piece_end(self, data: bytes, start: int) -> int:
+        """Return the end of the part of `data` from `start` on that is parsed next."""
+        state = self._connection.state
+        if state in (AWAITING_RESPONSE, READING_HEAD):
+            return self._head_boundary.find(data, start)
+        if state in (READING_BODY, STREAMING) and self.has_known_length:
+            return start + max(1, self.content_length - self._received_body_bytes)
+        return len(data)
+
+    def _feed_piece(self, data: bytes) -> None:
+        connection = self._connection
+        if connection.state == COMPLETE:
+            self._begin_duplicate_check(data)
+        self._wire_bytes += len(data)
         try:
             self._http_parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.keep_alive = False
-            if connection.state == COMPLETE:
-                connection.transition(EXTRA_DATA)
-            elif connection.state not in (COMPLETE_WITH_EXTRA, INVALID):
-                connection.transition(INVALIDATE)
+            self._on_invalid_data()
         if connection.state in (AWAITING_RESPONSE, READING_HEAD):
             self.head_bytes += len(data)
-        if connection.state in (READING_HEAD, READING_BODY):
-            self._head_memory.set(self.head_bytes + FIELD_OBJECT_BYTES * self._field_count)
+        if self.is_chunked:
+            self._check_chunked_end(data)
+        if self._duplicate:
+            self._judge_duplicate(self._duplicate)
+
+    def _judge_duplicate(self, duplicate: DuplicateCheck) -> None:
+        if self._wire_bytes > self._max_wire_bytes:
+            duplicate.on_invalid_data()  # longer than the response, so no duplicate
+        if duplicate.verdict is Verdict.DIFFERENT and self._connection.state != INVALID:
+            self._connection.transition(INVALIDATE)
+
+    def _on_invalid_data(self) -> None:
+        connection = self._connection
+        self.keep_alive = False
+        if connection.state == COMPLETE:
+            self._begin_duplicate_check(b"")
+        if self._duplicate:
+            self._duplicate.on_invalid_data()
+        elif connection.state != INVALID:
+            connection.transition(INVALIDATE)
+
+    def _check_chunked_end(self, data: bytes) -> None:
+        """Notice empty lines behind a chunked body, which httptools skips without a callback."""
+        self._chunked_tail = (self._chunked_tail + data[-CHUNKED_END_BYTES:])[-CHUNKED_END_BYTES:]
+        if self._connection.state == COMPLETE:
+            tail = self._chunked_tail
+            if not tail.endswith(CHUNKED_END) or tail[:1] == b"\n":
+                self._begin_duplicate_check(b"")
+
+    def _begin_duplicate_check(self, data: bytes) -> None:
+        """Judge what follows the response; `data` is its beginning, empty if it is no message."""
+        self._connection.transition(EXTRA_DATA)
+        is_held = not self.exceeds_buffer and self._is_served_status(self.status)
+        body = b"".join(self._body_parts) if is_held else None
+        self._max_wire_bytes = 2 * self._wire_bytes + MAX_HEAD_BYTES  # with interim responses before the duplicate
+        self._duplicate = DuplicateCheck(self.status, self._fields_digest, body)
+        if not HTTP_VERSION_PREFIX.startswith(data[: len(HTTP_VERSION_PREFIX)]) or not data:
+            self._duplicate.on_invalid_data()
+
+    @property
+    def is_repeated(self) -> bool:
+        """Whether the same response follows the response."""
+        return self._duplicate is not None and self._duplicate.verdict is Verdict.DUPLICATE
 
     # -- the parsed response
 
@@ -193,7 +268,7 @@
         """Handle the first byte of a message."""
         connection = self._connection
         if connection.state == COMPLETE:
-            connection.transition(EXTRA_DATA)
+            self._begin_duplicate_check(HTTP_VERSION_PREFIX)  # httptools compares it
         elif connection.state == AWAITING_RESPONSE:
             connection.transition(MESSAGE_BEGIN)
             self.started_ms = connection.last_received_ms
@@ -201,8 +276,11 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Handle a header field; trailers are ignored."""
+        if self._duplicate:
+            self._duplicate.on_header(name, value)
         if self._connection.state != READING_HEAD:
             return
+        self._fields_digest = add_field(self._fields_digest, name, value)
         self.head_bytes += len(name) + len(value)
         self._field_count += 1
         if self._field_count > MAX_HEAD_FIELDS:
@@ -227,6 +305,8 @@
 
     def on_headers_complete(self) -> None:
         """Handle the end of a head, of an interim or of the final response."""
+        if self._duplicate:
+            self._duplicate.on_headers_complete(self._http_parser.get_status_code())
         if self._connection.state != READING_HEAD:
             return
         self.status = self._http_parser.get_status_code()
@@ -248,9 +328,12 @@
     def on_body(self, data: bytes) -> None:
         """Handle a part of the body."""
         connection = self._connection
+        if self._duplicate:
+            self._duplicate.on_body(data)
+            return
+        self._received_body_bytes += len(data)
         if connection.state == STREAMING:
-            if not connection.stream_body(data):
-                connection.transition(INVALIDATE)
+            connection.stream_body(data)
             return
         if connection.state != READING_BODY or not self._is_served_status(self.status):
             return
@@ -268,7 +351,9 @@
     def on_message_complete(self) -> None:
         """Handle the end of a message, an interim or the final response."""
         connection = self._connection
-        if connection.state == READING_HEAD:
+        if self._duplicate:
+            self._duplicate.on_message_complete()
+        elif connection.state == READING_HEAD:
             connection.transition(INVALIDATE if self.status == SWITCHING_PROTOCOLS else INTERIM_END)
             head_bytes = self.head_bytes
             self.reset()
--- a/gateusher/upstream/states.py
+++ b/gateusher/upstream/states.py
@@ -47,8 +47,8 @@
 READING_BODY: Final = "reading body"  # the head of a final response is complete
 STREAMING: Final = "streaming"  # the response was delivered with an incomplete body; the remainder follows
 COMPLETE: Final = "complete"  # the response is complete, and nothing followed it
-COMPLETE_WITH_EXTRA: Final = "complete with extra data"  # more data followed: the connection is closed
-INVALID: Final = "invalid"  # the data is not a response to this request
+COMPLETE_WITH_EXTRA: Final = "complete with extra data"  # more data followed, perhaps the same response again
+INVALID: Final = "invalid"  # the data is not a response to this request, or not that alone
 CLOSED: Final = "closed"  # its descriptor is free once the event loop has called `connection_lost`
 
 # Events of a connection.
@@ -60,8 +60,8 @@
 HEAD_END: Final = "head ends"  # of a final response
 START_STREAMING: Final = "start streaming"  # the attempt ends, the body continues
 BODY_END: Final = "body ends"  # by its framing, or by the end of the stream where that delimits it
-EXTRA_DATA: Final = "extra data"  # after a complete response: a message begins, or bytes that can't be parsed
-INVALIDATE: Final = "invalidate"  # the response can't be parsed, or can't be delivered
+EXTRA_DATA: Final = "extra data"  # after a complete response
+INVALIDATE: Final = "invalidate"  # the response can't be parsed, delivered or trusted
 KEEP_ALIVE: Final = "keep alive"  # the connection returns to the pool
 CLOSE: Final = "close"
 
@@ -70,7 +70,7 @@
     {
         CONNECTING: {CONNECTED: AWAITING_RESPONSE, CLOSE: CLOSED},
         IDLE: {SEND_REQUEST: AWAITING_RESPONSE, CLOSE: CLOSED},
-        AWAITING_RESPONSE: {MESSAGE_BEGIN: READING_HEAD, INVALIDATE: INVALID, CLOSE: CLOSED},
+        AWAITING_RESPONSE: {MESSAGE_BEGIN: READING_HEAD, CLOSE: CLOSED},
         READING_HEAD: {
             HEAD_END: READING_BODY,
             INTERIM_END: AWAITING_RESPONSE,
@@ -80,7 +80,7 @@
         READING_BODY: {BODY_END: COMPLETE, START_STREAMING: STREAMING, INVALIDATE: INVALID, CLOSE: CLOSED},
         STREAMING: {BODY_END: COMPLETE, INVALIDATE: INVALID, CLOSE: CLOSED},
         COMPLETE: {KEEP_ALIVE: IDLE, EXTRA_DATA: COMPLETE_WITH_EXTRA, CLOSE: CLOSED},
-        COMPLETE_WITH_EXTRA: {CLOSE: CLOSED},
+        COMPLETE_WITH_EXTRA: {INVALIDATE: INVALID, CLOSE: CLOSED},
         INVALID: {CLOSE: CLOSED},
         CLOSED: {},
     },
