Listener: a request with foreign data behind it reaches no endpoint

Cause: a request was submitted, and the last part of a forwarded body written, from within the parser's callback, before the rest of the same read was looked at; the rest then got a 400 of its own. After a request with `Connection: close` httptools refuses any byte, so noise could not be told from a request.

Change: a complete request waits (complete_request.py) until the rest of the read and what the kernel still holds are looked at; of a forwarded body with a length the last part waits too, so that its endpoint never has the last byte. What follows must have a valid request line. A few bytes that may begin one delay the request by 0.2 s at most. Noise in a later read, while the answer is out, withdraws the request: 400 in place of the answer, or a reset where it is being written. One empty line is allowed (RFC 9112, 2.2): a body cut short by just CRLF can't be told from it.

Sound pipelined requests are served as before.

--- a/gateusher/base/head_boundary.py
+++ b/gateusher/base/head_boundary.py
@@ -16,15 +16,20 @@
 
     def find(self, data: bytes, start: int) -> int:
         """Return the index behind the head's end in `data` from `start` on, or `len(data)` if it is not there."""
-        end = self._find_split(data, start)
-        if not end:
-            found = data.find(HEAD_END, start)
-            end = found + len(HEAD_END) if found >= 0 else 0
-        self._tail = b"" if end else (self._tail + data[start:][-MAX_SPLIT_BYTES:])[-MAX_SPLIT_BYTES:]
-        return end or len(data)
+        if self._tail:
+            return self._find_split(data, start)
+        found = data.find(HEAD_END, start)
+        if found >= 0:
+            return found + len(HEAD_END)
+        self._tail = data[max(start, len(data) - MAX_SPLIT_BYTES) :]
+        return len(data)
 
     def _find_split(self, data: bytes, start: int) -> int:
-        if not self._tail:
-            return 0
-        found = (self._tail + data[start : start + MAX_SPLIT_BYTES]).find(HEAD_END)
-        return start + found + len(HEAD_END) - len(self._tail) if found >= 0 else 0
+        tail, self._tail = self._tail, b""
+        found = (tail + data[start : start + MAX_SPLIT_BYTES]).find(HEAD_END)
+        if found >= 0:
+            return start + found + len(HEAD_END) - len(tail)
+        end = self.find(data, start)
+        if self._tail and end - start < MAX_SPLIT_BYTES:
+            self._tail = (tail + self._tail)[-MAX_SPLIT_BYTES:]
+        return end
--- a/gateusher/core/states.py
+++ b/gateusher/core/states.py
@@ -22,11 +22,11 @@
 A *connection* carries one attempt at a time.  While it is **idle** no response is outstanding: a byte that arrives
 then proves that the two sides disagree on which bytes belong to which request, so the connection is closed without
 parsing it.  With an attempt it goes from **awaiting response** through **reading head** and **reading body** to
-**complete**, and back to awaiting response after each 1xx.  A complete response is used even if more data followed it
-in the same read (**complete with extra data**), but such a connection is never reused, since the extra data could be
-taken for the response to the next request.  Data that can't be a response makes the connection **invalid**.  Its
-attempt ends as one that may have run if its last byte was written, and as not executed otherwise.  **Closed** is
-final; the attempt has ended by then, or ends in the same iteration of the event loop.
+**complete**, and back to awaiting response after each 1xx.  If more data followed (**complete with extra data**), the
+response is used only if that is the same response again, and the connection is never reused.  Data that can't be a
+response, or that shows that a response can't be trusted, makes the connection **invalid**.  Its attempt ends as one
+that may have run if its last byte was written, and as not executed otherwise.  **Closed** is final; the attempt has
+ended by then, or ends in the same iteration of the event loop.
 
 A connection whose response is too long to be buffered is **streaming**: its attempt has ended, the client has
 received the beginning, and the request can't be retried.  The remainder is a `ResponseBodyStream`, which ends
--- a/gateusher/listeners/admin.py
+++ b/gateusher/listeners/admin.py
@@ -71,8 +71,10 @@
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._timeout: asyncio.TimerHandle | None = None
+        self._method = b""
         self._target = b""
         self._received_bytes = 0
+        self._is_complete = False  # a request, and nothing but another one may follow it
         self._is_answered = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -106,15 +108,20 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._respond(AdminResponse(400))
+            return
+        if self._is_complete:
+            self._respond(self._admin.handle(self._method, self._target))
 
     def on_url(self, url: bytes) -> None:
         """Part of the request target."""
-        self._target += url
+        if not self._is_complete:
+            self._target += url
 
     def on_message_complete(self) -> None:
         """The request is complete."""
-        if not self._is_answered:
-            self._respond(self._admin.handle(self._parser.get_method(), self._target))
+        if not self._is_complete:
+            self._is_complete = True
+            self._method = self._parser.get_method()
 
     def _respond(self, response: AdminResponse) -> None:
         self._is_answered = True
--- a/gateusher/listeners/client_connection.py
+++ b/gateusher/listeners/client_connection.py
@@ -24,6 +24,7 @@
 from . import response_writer as responses
 from .classification import ACCEPTED, ANSWERED, RequestListener, parse_deadline_ms, submit_request
 from .close_reason import UNREACHABLE_CLIENT, CloseReason
+from .complete_request import CompleteRequest
 from .http_request import HttpRequest
 from .input_turns import InputTurns
 from .read_pause import PauseReason, ReadPause
@@ -89,6 +90,8 @@
         self._receive_timer = ReceiveTimer(now_s)
         self._poller = select.poll()
         self._buffered_body = bytearray()
+        self._complete: CompleteRequest | None = None  # until what follows it is known
+        self._last_part = b""  # of a body that is forwarded, until what follows it is known
         self._uploading: HttpRequest | None = None  # the request whose body is forwarded while it is received
         self._upload_deadline: UploadDeadline | None = None  # of that request
         self._read_pause = ReadPause(self._receive_timer, self._unread_input)
@@ -108,6 +111,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """The connection is closed: its open requests are cancelled."""
         self._transport = None
+        self._drop_complete_request()
         self._uploading = None
         self._parser.close()
         self._turns.close()
@@ -128,6 +132,7 @@
 
         The loop closes the connection once all written data has been read.  Nothing may be forwarded until then.
         """
+        self._drop_complete_request()
         for request in list(self._unanswered):
             self._owner.engine.client_disconnected(request)
 
@@ -160,6 +165,7 @@
         try:
             self._turns.parse(data)
             self._count_head()
+            self._submit_if_nothing_follows()
         except UnusableRequestError as error:
             self.reject(error.status)
         else:
@@ -281,6 +287,8 @@
                 self.close(CloseReason.LINGERED)
         elif self._uploading and self._upload_deadline and self._upload_deadline.is_due(now_s):
             self.reject(503)  # no endpoint has received the last byte, so none has executed it
+        elif self._complete and self._parser.in_request and self._complete.is_overdue(now_s):
+            self._end_delay()
         elif self._read_pause.is_active:
             if self.has_disconnected:
                 self._abort(CloseReason.CLIENT_DISCONNECTED)  # reading is paused, so no end of file is reported
@@ -302,14 +310,18 @@
     # -- requests, as the parser reports them
 
     def on_request_begin(self) -> None:
-        """A request begins.  Raises UnusableRequestError, which also bounds the work of a single read."""
+        """A request, or anything else, begins."""
+        if self._has_begun_request:
+            self._receive_timer.restart(self._owner.loop.time())
+        self._has_begun_request = True
+
+    def on_request_line(self) -> None:
+        """What has begun is a request.  Raises UnusableRequestError, which also bounds the work of a single read."""
+        self._submit_complete_request()
         if len(self._unanswered) >= MAX_PIPELINED_REQUESTS:
             raise UnusableRequestError(429)
         if self._unanswered and not self._unanswered[-1].keep_alive:
             raise UnusableRequestError(400)  # the response before it ends the connection
-        if self._has_begun_request:
-            self._receive_timer.restart(self._owner.loop.time())
-        self._has_begun_request = True
 
     def on_expect_continue(self) -> None:
         """Send 100 Continue, unless a response before it is outstanding."""
@@ -318,41 +330,79 @@
 
     def on_body_data(self, data: bytes) -> None:
         """Buffer the body, or forward it if it is long or memory is scarce.  Raises UnusableRequestError."""
-        if self._uploading:
+        is_last = self._parser.has_known_length and not self._parser.remaining_body_bytes
+        memory = self._owner.memory
+        if self._uploading and not is_last:
             if self._uploading.upload and not self._uploading.upload.feed(data):
                 raise UnusableRequestError(503)
             return
-        memory = self._owner.memory
         if not memory.acquire(len(data)):
             raise UnusableRequestError(503)
+        if self._uploading:
+            self._last_part = data
+            return
         self._buffered_body += data
-        if len(self._buffered_body) > MAX_BUFFERED_REQUEST_BYTES or memory.is_scarce:
+        if not is_last and (len(self._buffered_body) > MAX_BUFFERED_REQUEST_BYTES or memory.is_scarce):
             self._begin_upload()
 
     def on_request_complete(self) -> None:
-        """Submit the request, or complete the one whose body was forwarded."""
-        if self._uploading:
-            uploaded = self._uploading
-            self._uploading = None
-            unread_ms = self._unread_ms()
-            if self._upload_deadline:
-                unread_ms = max(unread_ms, self._upload_deadline.unread_ms(self._owner.loop.time()))
-            self._owner.engine.upload_completed(uploaded, unread_ms)
-            self._unread_input.has_received_request = True
-            return
-        body = self._buffered_body
-        self._buffered_body = bytearray()
-        request = self._make_request(body)
-        request.unread_ms = self._unread_ms()
+        """Keep the request until what follows it is known."""
+        now_s = self._owner.loop.time()
+        unread_ms = self._unread_ms()
+        request = self._uploading
+        if request is None:
+            body = self._buffered_body
+            self._buffered_body = bytearray()
+            request = self._make_request(body)
+            self._unanswered.append(request)
+        elif self._upload_deadline:
+            unread_ms = max(unread_ms, self._upload_deadline.unread_ms(now_s))
         self._unread_input.has_received_request = True
-        self._unanswered.append(request)
-        status = submit_request(request, self._parser.fields, self._owner)
+        last_part, self._last_part = self._last_part, b""
+        self._complete = CompleteRequest(request, self._parser.fields, now_s, unread_ms, last_part)
+
+    def _submit_if_nothing_follows(self) -> None:
+        """Submit the complete request, unless something behind it waits to be read or is too short to be judged."""
+        if self._complete and not (self._turns.is_waiting or self._parser.in_request or self._unread_bytes()):
+            self._submit_complete_request()
+
+    def _end_delay(self) -> None:
+        """Decide on the complete request by the few bytes that follow it."""
+        if self._parser.target:
+            self._submit_complete_request()
+        else:
+            self.reject(400)
+
+    def _submit_complete_request(self) -> None:
+        """Submit the request, or complete the one whose body was forwarded.  Raises UnusableRequestError."""
+        complete, self._complete = self._complete, None
+        if complete is None:
+            return
+        request, now_s = complete.request, self._owner.loop.time()
+        if request is self._uploading:
+            self._complete_upload(request, complete, now_s)
+            return
+        request.unread_ms = complete.queued_ms(now_s)
+        status = submit_request(request, complete.fields, self._owner)
         if status != ACCEPTED:
-            self._owner.memory.release(len(body))
-            request.head_memory.set(0)
+            complete.release(self._owner.memory)
         if status not in (ACCEPTED, ANSWERED):
             self._answer(request, status)
 
+    def _complete_upload(self, request: HttpRequest, complete: CompleteRequest, now_s: float) -> None:
+        upload, last_part = request.upload, complete.last_part
+        self._owner.memory.release(len(last_part))
+        if upload and last_part and not upload.feed(last_part):
+            raise UnusableRequestError(503)
+        self._uploading = None
+        self._owner.engine.upload_completed(request, complete.queued_ms(now_s))
+
+    def _drop_complete_request(self) -> None:
+        """Forget the complete request, which must not be submitted any more."""
+        if self._complete:
+            self._complete.release(self._owner.memory)
+            self._complete = None
+
     def _make_request(self, body: bytes | bytearray) -> HttpRequest:
         parser = self._parser
         request = HttpRequest(
@@ -405,8 +455,9 @@
         return self._unread_input.unread_ms(self._owner.loop.time(), self._owner.engine.backlog, self._transport)
 
     def _release_buffered_body(self) -> None:
-        self._owner.memory.release(len(self._buffered_body))
+        self._owner.memory.release(len(self._buffered_body) + len(self._last_part))
         self._buffered_body = bytearray()
+        self._last_part = b""
 
     def reject(self, status: int) -> None:
         """Answer unusable input with an error, after the responses that precede it, and close."""
@@ -415,6 +466,9 @@
         self._discards_input = True
         rejected_id = self._uploading.request_id if self._uploading else b""
         self._owner.engine.diagnostics.note("rejected by the listener", str(status), rejected_id)
+        is_behind_request = not self._parser.in_request or not self._parser.has_request_line
+        complete = self._complete
+        self._drop_complete_request()
         self._parser.abandon_request()
         self._release_buffered_body()
         if self._uploading:
@@ -425,6 +479,13 @@
             uploading.keep_alive = False
             self._answer(uploading, status)
             return
+        if complete:
+            complete.request.keep_alive = False
+            self._answer(complete.request, status)
+            return
+        if status == 400 and is_behind_request and self._unanswered:
+            self._withdraw(self._unanswered[-1], status)
+            return
         if self._unanswered and not self._unanswered[-1].keep_alive:
             return  # nothing is answered after a request that ends its connection (RFC 9112, section 9.6)
         self._head_memory.set(0)
@@ -432,6 +493,21 @@
         self._unanswered.append(unusable)
         self._answer(unusable, status)
 
+    def _withdraw(self, request: HttpRequest, status: int) -> None:
+        """Answer a submitted request with an error, as no request follows it: its body may have been cut.
+
+        A response that is being written is interrupted, so that the client can tell that it is not whole.
+        """
+        self._owner.engine.client_disconnected(request)
+        if request.body_stream:
+            request.body_stream.cancel()
+        if request.unwritten_response == b"":
+            self.finish_body(request, False)
+            return
+        request.body_stream = None
+        request.keep_alive = False
+        self._answer(request, status)
+
     # -- responses, for the core and the response streams
 
     def on_final_response(self, call: ClientRequest, final: FinalResponse) -> None:
--- a/gateusher/listeners/input_turns.py
+++ b/gateusher/listeners/input_turns.py
@@ -13,7 +13,7 @@
 from .request_parser import RequestParser, UnusableRequestError
 
 MAX_REQUESTS_PER_TURN: Final = 16
-SLICE_BYTES: Final = 4096  # bounds the requests that begin after the last one of a turn
+SLICE_BYTES: Final = 4096  # of input whose end is not known
 BODY_SLICE_BYTES: Final = 65536
 
 
@@ -49,18 +49,16 @@
 
     def parse(self, data: bytes) -> None:
         """Parse as much as the turn allows, and keep the rest.  Raises UnusableRequestError."""
-        last_request = self._parser.request_count + MAX_REQUESTS_PER_TURN
-        if len(data) <= SLICE_BYTES:
-            self._parser.feed(data)
-            return
-        at, view = 0, memoryview(data)
-        while at < len(data):
-            if self._parser.request_count >= last_request:
-                self._wait(data[at:])
+        parser = self._parser
+        last_request = parser.request_count + MAX_REQUESTS_PER_TURN
+        start = 0
+        while start < len(data):
+            if parser.request_count >= last_request:
+                self._wait(data[start:])
                 return
-            end = at + min(max(self._parser.remaining_body_bytes, SLICE_BYTES), BODY_SLICE_BYTES)
-            self._parser.feed(view[at:end])
-            at = end
+            end = min(parser.piece_end(data, start, SLICE_BYTES), start + BODY_SLICE_BYTES)
+            parser.feed(data if end - start == len(data) else memoryview(data)[start:end])
+            start = end
 
     def _wait(self, rest: bytes) -> None:
         if not self._owner:
--- a/gateusher/listeners/request_parser.py
+++ b/gateusher/listeners/request_parser.py
@@ -10,12 +10,14 @@
 
 import httptools
 
+from ..base.head_boundary import HeadBoundary
 from ..upstream.interface import FIELD_OBJECT_BYTES, HOP_BY_HOP_HEADERS, Headers
 
 MAX_HEAD_BYTES = 32768
 MAX_HEAD_FIELDS = 128
 MAX_REQUEST_BODY_BYTES = 33 << 20
 FIELD_OVERHEAD_BYTES = len(b": \r\n")
+LINE_END = b"\r\n"
 
 # Fields that the listener acts on.  A request that repeats one is rejected, since its meaning is ambiguous.
 SINGLETON_FIELDS = frozenset(
@@ -60,6 +62,9 @@
     def on_request_begin(self) -> None:
         """The first byte of a request was read."""
 
+    def on_request_line(self) -> None:
+        """The request line is valid, so what was read since the last request is another request."""
+
     def on_expect_continue(self) -> None:
         """The client waits for 100 Continue before it sends the body (RFC 9110, section 10.1.1)."""
 
@@ -76,6 +81,13 @@
     def __init__(self, events: RequestEvents) -> None:
         self._events = events
         self._parser = httptools.HttpRequestParser(self)
+        # Without it, data behind a request with `Connection: close` could not be told from another request.
+        self._parser.set_dangerous_leniencies(lenient_keep_alive=True)
+        self._head_boundary = HeadBoundary()
+        self._line_ends: bytes | None = None  # read since a body of known length has ended
+        self.has_known_length = False  # Content-Length gives that of the current body
+        self._content_length = 0
+        self.has_request_line = False  # that of the latest request, and nothing else was read since
         self.in_head = False
         self.in_request = False  # a request has begun and is not complete
         self.body_bytes = 0  # received of the current body
@@ -100,9 +112,9 @@
     @property
     def remaining_body_bytes(self) -> int:
         """How much is to come of a body of known length; 0 outside of one."""
-        if self.in_head or not self.in_request:
+        if self.in_head or not self.in_request or not self.has_known_length:
             return 0
-        return int(self.fields.get(b"content-length", b"0")) - self.body_bytes
+        return self._content_length - self.body_bytes
 
     @property
     def method(self) -> bytes:
@@ -119,6 +131,26 @@
         """Whether the client wants the connection to persist; always False for HTTP/1.0 (RFC 9112, section 9.3)."""
         return bool(self._parser.should_keep_alive()) and not self.is_http_1_0
 
+    def piece_end(self, data: bytes, start: int, max_bytes: int) -> int:
+        """Return the end of the part of `data` from `start` on that `feed` may get next.
+
+        Heads and bodies of known length are parsed apart from what follows them; other input has `max_bytes` at most.
+        Raises UnusableRequestError.
+        """
+        if self.in_request and not self.in_head:
+            return min(len(data), start + (self.remaining_body_bytes or max_bytes))
+        if not self.in_request and self._line_ends is not None:
+            self._check_line_ends(data, start)
+        return self._head_boundary.find(data, start)
+
+    def _check_line_ends(self, data: bytes, start: int) -> None:
+        """Allow one empty line before a request line (RFC 9112, 2.2); more may be the rest of the body before it."""
+        while data[start : start + 1] in (b"\r", b"\n"):
+            self._line_ends = (self._line_ends or b"") + data[start : start + 1]
+            if not LINE_END.startswith(self._line_ends):
+                raise UnusableRequestError(400)
+            start += 1
+
     def feed(self, data: bytes | memoryview) -> None:
         """Parse input.  Raises UnusableRequestError."""
         was_in_head, request_count = self.in_head, self.request_count
@@ -155,6 +187,7 @@
         self._stop_if_abandoned()
         self._events.on_request_begin()
         self._reset_head()
+        self._line_ends = None
         self.in_head = True
         self.in_request = True
         self.request_count += 1
@@ -170,6 +203,8 @@
         """A header field, or a trailer field, which is dropped."""
         if not self.in_head:
             return
+        if not self.has_request_line:
+            self._on_request_line()
         self.head_bytes += len(name) + len(value) + FIELD_OVERHEAD_BYTES
         self._field_count += 1
         if self.head_bytes + len(self.target) > MAX_HEAD_BYTES or self._field_count > MAX_HEAD_FIELDS:
@@ -181,15 +216,24 @@
             self.headers.append((name, value))
         self.fields[lower_name] = value.strip(b" \t")
 
+    def _on_request_line(self) -> None:
+        """The line is valid, as something that follows it was parsed: httptools has no callback for its end."""
+        self.has_request_line = True
+        self._events.on_request_line()
+
     def on_headers_complete(self) -> None:
         """The head is complete."""
+        if not self.has_request_line:
+            self._on_request_line()
         self.in_head = False
         self._unfinished_head_bytes = 0
         self.body_bytes = 0
         fields = self.fields
         if self._parser.should_upgrade() or fields.get(b"transfer-encoding", b"chunked").lower() != b"chunked":
             raise UnusableRequestError(400)
-        if int(fields.get(b"content-length", b"0")) > MAX_REQUEST_BODY_BYTES:
+        self.has_known_length = b"content-length" in fields
+        self._content_length = int(fields.get(b"content-length", b"0"))
+        if self._content_length > MAX_REQUEST_BODY_BYTES:
             raise UnusableRequestError(413)
         if b"expect" in fields:
             self._events.on_expect_continue()
@@ -206,4 +250,6 @@
         """A request is complete."""
         self._stop_if_abandoned()
         self.in_request = False
+        self.has_request_line = False
+        self._line_ends = b"" if self.has_known_length and self.body_bytes else None
         self._events.on_request_complete()
