Streamed responses: silence as long as a partition may last cuts nothing

In the other direction a client that took nothing of a response still coming had 6 s where bytes waited here, and 60 s elsewhere.

Change: one limit (base/silence.py), twice the longest partition and 2 s: TCP doubles its intervals, so its first resend comes at most as long after the cut as the cut was. The 6 s remain for responses that are complete here, whose client's time is over by then.

--- a/gateusher/listeners/client_connection.py
+++ b/gateusher/listeners/client_connection.py
@@ -37,9 +37,9 @@
 
 MAX_PIPELINED_REQUESTS = 8  # clients should send one at a time
 MAX_BUFFERED_REQUEST_BYTES = 256 << 10  # a longer body is forwarded while it is received
-WRITE_STALL_TIMEOUT_S = 6.0  # the client reads nothing of its response
-# The same for a streamed response of which nothing waits here.  A window that is closed opens only when much of the
-# client's receive buffer is free, which takes half a minute for one that reads steadily but slowly.
+WRITE_STALL_TIMEOUT_S = 6.0  # the client reads nothing of a response that is complete here
+# The same for a streamed response.  A window that is closed opens only when much of the client's receive buffer is
+# free, which takes half a minute for one that reads steadily but slowly.
 STREAM_STALL_TIMEOUT_S = 60.0
 UNUSED_CONNECTION_TIMEOUT_S = 2.0  # without any request since the connection was made
 KEEP_ALIVE_TIMEOUT_S = 2.0  # idle since the last response
@@ -303,7 +303,8 @@
 
     def _is_unread(self, inactive_s: float) -> bool:
         """Whether the client has read nothing of its response for too long."""
-        if self._pacer.is_waiting:
+        is_streaming = bool(self._unanswered and self._unanswered[0].body_stream)
+        if self._pacer.is_waiting or (is_streaming and self._write_blocked):
             return inactive_s > STREAM_STALL_TIMEOUT_S
         return (self._write_blocked or self._closing) and inactive_s > WRITE_STALL_TIMEOUT_S
 
--- a/gateusher/upstream/response_stream.py
+++ b/gateusher/upstream/response_stream.py
@@ -9,10 +9,11 @@
 import asyncio
 from typing import Final, Protocol
 
+from ..base.silence import MAX_SILENCE_S
 from .interface import BodySink, ResponseBodyStream
 from .response_parser import MAX_STREAMED_BODY_BYTES
 
-STREAM_IDLE_TIMEOUT_S: Final = 10.0  # without data from the endpoint, while reading is not paused
+STREAM_IDLE_TIMEOUT_S: Final = MAX_SILENCE_S  # without data from the endpoint, while reading is not paused
 
 
 class StreamedConnection(Protocol):
