Turns of the event loop end by work: chunks, trailers, 1xx, lists, on every side

Cause: a turn of a client's connection ended after 16 requests and by nothing else, so a read of 64 KB in chunks of one byte was one turn of 10,900 callbacks, each with a write to the endpoint; endpoints and discovery had no turns at all. Found with it: chunk extensions and trailers had no bound, of clients and endpoints alike; httptools keeps a trailer's value whole, uncounted.

Change: InputTurns moves to base/ and serves clients, endpoints and discovery. It ends a turn after 128 callbacks (a request counts as 32, an interim response or a list as 16); slices of input whose framing is not known are 1 KB, up to 8 KB where they cause little. Parts of a chunked body are reported together, and a response's body is kept in one buffer. While a stream is not taken its connection's turns are suspended. Framing without a byte of body is bounded as a head is: 431, or a failed attempt. Why it works: every iteration of the loop has a bounded part for each connection, whatever the connection sends.

A run of the tests failed in tests/test_layers.py with CPython's "AST constructor recursion depth mismatch": a finalizer of a test's unclosed writer raised while ast.parse ran, and formatting that error parses too (shown with 20 lines apart). The stand-in endpoints close their writers now, and that test parses without collections.

--- a/gateusher/discovery/call.py
+++ b/gateusher/discovery/call.py
@@ -9,12 +9,14 @@
 import asyncio
 import os
 import select
+from collections.abc import Callable
 from math import inf
 from typing import Protocol, cast
 
 import httptools
 
 from ..base.errors import connect
+from ..base.input_turns import InputTurns
 from ..base.log import log_event
 from .list_stream import ListInterrupted, ListStream
 from .lists import EndpointListError
@@ -22,6 +24,7 @@
 READ_BYTES = 1 << 16
 MAX_READS = 64  # per `read_now`
 HTTP_OK = 200
+LIST_WORK = 16  # of a list or heartbeat, in callbacks that take as long
 LIST_PATH = "/catalog/members"
 
 
@@ -52,6 +55,8 @@
         self._owner = owner
         self.number = number
         self._parser = httptools.HttpResponseParser(self)
+        self._turns = InputTurns(self, self, self._call_soon)
+        self.work = 0  # callbacks of the parser
         self._loop: asyncio.AbstractEventLoop  # from `connect` on
         self._host = ""
         self._transport: asyncio.Transport | None = None
@@ -97,12 +102,13 @@
         """Whether data has arrived that the event loop has not delivered yet."""
         if not self._transport or self._transport.is_closing():
             return False
-        return bool(self._poller and self._poller.poll(0))
+        return self._turns.is_waiting or bool(self._poller and self._poller.poll(0))
 
     def read_now(self) -> None:
-        """Read the data that has arrived, without waiting for the event loop."""
+        """Read the data that has arrived, without waiting for the event loop, as far as a turn allows."""
+        self._turns.proceed()
         for _ in range(MAX_READS):
-            if self._transport is None or not self.has_unread_data:
+            if self._transport is None or self._turns.is_waiting or not self.has_unread_data:
                 return
             try:
                 data = os.read(self._transport.get_extra_info("socket").fileno(), READ_BYTES)
@@ -129,13 +135,43 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the end of the connection (asyncio.Protocol)."""
         self._transport = None
+        self._turns.close()
         self._owner.call_failed(self, exc or "connection closed")
         del self._parser  # breaks the reference cycle
 
     def data_received(self, data: bytes) -> None:
         """Parse a part of the response (asyncio.Protocol)."""
-        if self._closed:
-            return
+        self._turns.parse(data)
+
+    # -- turns of the event loop, for the input
+
+    def _call_soon(self, callback: Callable[[], None]) -> object:
+        return self._loop.call_soon(callback)
+
+    def pause_for_turn(self) -> None:
+        """Stop reading until the next turn."""
+        if self._transport and not self._transport.is_closing():
+            self._transport.pause_reading()
+
+    def resume_after_turn(self) -> None:
+        """Read again: no input waits any more."""
+        if self._transport and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    @property
+    def is_stopped(self) -> bool:
+        """Whether the rest of the input is not parsed."""
+        return self._closed
+
+    def piece_end(self, data: bytes, start: int, max_bytes: int) -> int:
+        """Return the end of the part of `data` from `start` on that `feed` gets next."""
+        return min(len(data), start + max_bytes)
+
+    def flush(self) -> None:
+        """Do nothing: `feed` delivers all lists that are complete."""
+
+    def feed(self, data: bytes | memoryview) -> None:
+        """Parse a part of the input, and deliver the lists that are complete."""
         self._active = False
         try:
             self._parser.feed_data(data)
@@ -157,11 +193,13 @@
 
     def on_headers_complete(self) -> None:
         """Record the status (httptools)."""
+        self.work += 1
         self._status = self._parser.get_status_code()
         self._active = self._status == HTTP_OK and not self._polling
 
     def on_body(self, data: bytes) -> None:
         """Store a part of the body (httptools)."""
+        self.work += 1
         if self._status == HTTP_OK:
             self._stream.feed(data)
 
@@ -188,6 +226,7 @@
                 self._send_request()
         else:
             for complete in self._stream.complete_lists():
+                self.work += LIST_WORK
                 if complete:
                     self._owner.receive_list(complete, False)
                 self._active = True
--- a/gateusher/listeners/client_connection.py
+++ b/gateusher/listeners/client_connection.py
@@ -16,6 +16,7 @@
 from typing import Protocol, cast
 
 from ..base.diagnostics import Invariant
+from ..base.input_turns import InputTurns
 from ..base.limits import MemoryBudget, Reservation
 from ..core.engine import ClientRequest, FinalResponse
 from ..core.states import OPEN
@@ -26,7 +27,6 @@
 from .close_reason import UNREACHABLE_CLIENT, CloseReason
 from .complete_request import CompleteRequest
 from .http_request import HttpRequest
-from .input_turns import InputTurns
 from .read_pause import PauseReason, ReadPause
 from .receive_timer import ReceiveTimer
 from .request_parser import RequestParser, UnusableRequestError
@@ -75,7 +75,7 @@
         now_s = owner.loop.time()
         self._owner = owner
         self._parser = RequestParser(self)
-        self._turns = InputTurns(self, self._parser, owner.loop, owner.memory)
+        self._turns = InputTurns(self, self._parser, owner.loop.call_soon, owner.memory)
         self._head_memory = Reservation(owner.memory)  # of a head that is not complete
         self._response_memory = Reservation(owner.memory)  # of responses that the kernel has not taken
         self._pacer = StreamPacer(owner.loop, self._unsent_bytes, self._note_activity)
@@ -173,10 +173,13 @@
                 self._receive_timer.input_received(self._owner.loop.time())
 
     def _count_head(self) -> None:
-        """Count the memory of a head that is not complete.  Raises UnusableRequestError if there is none left."""
+        """Count the memory of a head that is not complete.
+
+        Raises UnusableRequestError if there is none left for it, or for input that waits.
+        """
         memory = self._owner.memory
         self._head_memory.set(self._parser.held_bytes if self._parser.in_head else 0)
-        if self._head_memory.size and memory.in_use > memory.limit:
+        if (self._head_memory.size or self._turns.is_waiting) and memory.in_use > memory.limit:
             raise UnusableRequestError(503)
 
     # -- turns of the event loop, for the input
--- a/gateusher/listeners/request_parser.py
+++ b/gateusher/listeners/request_parser.py
@@ -18,6 +18,8 @@
 MAX_REQUEST_BODY_BYTES = 33 << 20
 FIELD_OVERHEAD_BYTES = len(b": \r\n")
 LINE_END = b"\r\n"
+REQUEST_WORK = 32  # of a request, in callbacks that take as long: it is classified, submitted and answered
+REPORTED_BODY_BYTES = 16384  # parts of a body are collected up to this length
 
 # Fields that the listener acts on.  A request that repeats one is rejected, since its meaning is ambiguous.
 SINGLETON_FIELDS = frozenset(
@@ -92,6 +94,10 @@
         self.in_request = False  # a request has begun and is not complete
         self.body_bytes = 0  # received of the current body
         self.request_count = 0  # requests that have begun
+        self.work = 0  # callbacks
+        self._body_parts: list[bytes] = []  # not reported yet
+        self._unreported_bytes = 0
+        self._framing_bytes = 0  # read since the last byte of a chunked body
         self._is_abandoned = False  # nothing more is reported
         self._unfinished_head_bytes = 0  # read since a read ended inside the current head
         self._reset_head()
@@ -134,8 +140,8 @@
     def piece_end(self, data: bytes, start: int, max_bytes: int) -> int:
         """Return the end of the part of `data` from `start` on that `feed` may get next.
 
-        Heads and bodies of known length are parsed apart from what follows them; other input has `max_bytes` at most.
-        Raises UnusableRequestError.
+        Heads and bodies of known length are parsed apart from what follows them; the parts of a chunked body have
+        `max_bytes` at most.  Raises UnusableRequestError.
         """
         if self.in_request and not self.in_head:
             return min(len(data), start + (self.remaining_body_bytes or max_bytes))
@@ -153,7 +159,7 @@
 
     def feed(self, data: bytes | memoryview) -> None:
         """Parse input.  Raises UnusableRequestError."""
-        was_in_head, request_count = self.in_head, self.request_count
+        was_in_head, request_count, body_bytes = self.in_head, self.request_count, self.body_bytes
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as error:
@@ -164,12 +170,37 @@
             self._unfinished_head_bytes += len(data)
             if self._unfinished_head_bytes > MAX_HEAD_BYTES:
                 raise UnusableRequestError(431)
+        if self.in_request and not self.in_head:
+            self._count_framing(len(data) if self.body_bytes == body_bytes else 0)
+
+    def _count_framing(self, size: int) -> None:
+        """Bound chunk extensions and trailer fields, as heads are.  Raises UnusableRequestError."""
+        self._framing_bytes = self._framing_bytes + size if size else 0
+        if self._framing_bytes > MAX_HEAD_BYTES:
+            raise UnusableRequestError(431)
+
+    @property
+    def is_stopped(self) -> bool:
+        """Whether the rest of the input is not parsed: never, since `feed` raises an error in that case."""
+        return False
+
+    def flush(self) -> None:
+        """Report the parts of the body that are collected.  Raises UnusableRequestError."""
+        if self._body_parts:
+            parts = self._body_parts
+            self._drop_body_parts()
+            self._events.on_body_data(parts[0] if len(parts) == 1 else b"".join(parts))
+
+    def _drop_body_parts(self) -> None:
+        self._body_parts = []
+        self._unreported_bytes = 0
 
     def abandon_request(self) -> None:
         """Give up the current request: neither its rest nor what follows it in the same input is reported."""
         self.in_head = False
         self.in_request = False
         self._reset_head()
+        self._drop_body_parts()
         self._is_abandoned = True
 
     def _stop_if_abandoned(self) -> None:
@@ -184,6 +215,7 @@
 
     def on_message_begin(self) -> None:
         """A request begins."""
+        self.work += 1
         self._stop_if_abandoned()
         self._events.on_request_begin()
         self._reset_head()
@@ -201,6 +233,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """A header field, or a trailer field, which is dropped."""
+        self.work += 1
         if not self.in_head:
             return
         if not self.has_request_line:
@@ -228,6 +261,7 @@
         self.in_head = False
         self._unfinished_head_bytes = 0
         self.body_bytes = 0
+        self._framing_bytes = 0
         fields = self.fields
         if self._parser.should_upgrade() or fields.get(b"transfer-encoding", b"chunked").lower() != b"chunked":
             raise UnusableRequestError(400)
@@ -244,11 +278,17 @@
         self.body_bytes += len(data)
         if self.body_bytes > MAX_REQUEST_BODY_BYTES:
             raise UnusableRequestError(413)
-        self._events.on_body_data(data)
+        self.work += 1
+        self._body_parts.append(data)
+        self._unreported_bytes += len(data)
+        if self.has_known_length or self._unreported_bytes > REPORTED_BODY_BYTES:
+            self.flush()
 
     def on_message_complete(self) -> None:
         """A request is complete."""
         self._stop_if_abandoned()
+        self.flush()
+        self.work += REQUEST_WORK
         self.in_request = False
         self.has_request_line = False
         self._line_ends = b"" if self.has_known_length and self.body_bytes else None
--- a/gateusher/upstream/connection.py
+++ b/gateusher/upstream/connection.py
@@ -16,6 +16,7 @@
 
 from ..base.clock import Clock
 from ..base.diagnostics import Diagnostics
+from ..base.input_turns import InputTurns
 from ..base.limits import MemoryBudget
 from ..policy.interface import Outcome
 from ..policy.permission import Denial, endpoint_denied
@@ -137,6 +138,8 @@
         self._upload_is_complete = False  # the transport has the complete upload
 
         self._parser = ResponseParser(self, pool.memory, pool.is_served_status)
+        self._turns = InputTurns(self, self._parser, pool.loop.call_soon, pool.memory)
+        self._stream_is_paused = False
         self._stream: EndpointBodyStream | None = None
         self._unforwarded_parts: list[bytes] = []  # of its body, from the latest read
 
@@ -306,17 +309,19 @@
     def data_received(self, data: bytes) -> None:
         """Parse data that was read, and act on the resulting state (asyncio.Protocol)."""
         self.last_received_ms = self.endpoint.last_received_ms = self._pool.clock.now_ms()
+        if self.state == CLOSED:
+            return  # input that waited for its turn
         if self.attempt is None and self._stream is None:
             self._pool.discard_idle(self)
             return
-        self._parser.feed(data)
+        self._turns.parse(data)
         self._handle_response()
 
     def _handle_response(self) -> None:
         """Act on the state after data was parsed."""
         parser, state = self._parser, self.state
         if state == COMPLETE:
-            if not self._has_unread_data:  # what follows the response is judged first
+            if not (self._turns.is_waiting or self._has_unread_data):  # what follows the response is judged first
                 self._end_response()
         elif state == COMPLETE_WITH_EXTRA:
             if parser.is_repeated:
@@ -452,13 +457,31 @@
             stream.finish(complete=False)
 
     def pause_reading(self) -> None:
-        """Stop reading from the endpoint."""
-        if self._transport and not self._transport.is_closing():
-            self._transport.pause_reading()
+        """Stop reading from the endpoint: the stream is not taken."""
+        self._stream_is_paused = True
+        self._turns.suspend()
+        self._update_reading()
 
     def resume_reading(self) -> None:
         """Resume reading from the endpoint."""
-        if self._transport and not self._transport.is_closing():
+        self._stream_is_paused = False
+        self._turns.resume()
+        self._update_reading()
+
+    def pause_for_turn(self) -> None:
+        """Stop reading until the next turn of the event loop."""
+        self._update_reading()
+
+    def resume_after_turn(self) -> None:
+        """Read again: no input waits any more."""
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        if not self._transport or self._transport.is_closing():
+            return
+        if self._stream_is_paused or self._turns.is_waiting:
+            self._transport.pause_reading()
+        else:
             self._transport.resume_reading()
 
     # -- idle and closed
@@ -501,6 +524,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Handle the end of the connection, closed by either side (asyncio.Protocol)."""
         self._transport = None
+        self._turns.close()
         self._end_complete_response()
         if self.state != CLOSED:
             self.transition(CLOSE)
--- a/gateusher/upstream/response_parser.py
+++ b/gateusher/upstream/response_parser.py
@@ -26,6 +26,7 @@
 from .states import (
     AWAITING_RESPONSE,
     BODY_END,
+    CLOSED,
     COMPLETE,
     EXTRA_DATA,
     HEAD_END,
@@ -45,6 +46,7 @@
 
 HTTP_VERSION_PREFIX: Final = b"HTTP/1."
 CHUNKED_END: Final = b"\r\n\r\n"  # the end of the last chunk's line or of a trailer field, and an empty line
+INTERIM_WORK: Final = 16  # of an interim response, in callbacks that take as long
 CHUNKED_END_BYTES: Final = len(CHUNKED_END) + 1  # with the byte before it
 SWITCHING_PROTOCOLS: Final = 101
 REJECTION_STATUSES: Final = (503, 504)  # with `X-Not-Run: 1` they prove that the request was not executed
@@ -101,6 +103,7 @@
         self._head_boundary = HeadBoundary()
         self._head_memory = Reservation(memory)
         self.started_ms = 0.0
+        self.work = 0  # callbacks
         self.reset()
 
     def reset(self) -> None:
@@ -112,7 +115,8 @@
         self.head_bytes = 0
         self.body_bytes = 0
         self._headers: Headers = []
-        self._body_parts: list[bytes] = []
+        self._body = bytearray()
+        self._framing_bytes = 0  # read since the last byte of a chunked body
         self._connection_header = b""
         self.load_report = b""
         self.is_delimited = False
@@ -135,46 +139,55 @@
         del self._http_parser
         del self._connection
 
-    def feed(self, data: bytes) -> None:
-        """Parse data that was read, and apply the resulting events to the connection's state.
+    @property
+    def is_stopped(self) -> bool:
+        """Whether the rest of the input is not parsed, as the response is invalid or its connection closed."""
+        return self._connection.state in (INVALID, CLOSED)
+
+    def piece_end(self, data: bytes, start: int, max_bytes: int) -> int:
+        """Return the end of the part of `data` from `start` on that `feed` may get next.
 
         Heads and bodies of known length are parsed apart from what follows them, so that no byte behind a response
-        remains unnoticed.
+        remains unnoticed.  Other input has `max_bytes` at most.
         """
-        connection = self._connection
-        start = 0
-        while start < len(data) and connection.state != INVALID:
-            end = self._piece_end(data, start)
-            self._feed_piece(data[start:end])
-            start = end
-        if connection.state in (READING_HEAD, READING_BODY):
-            self._head_memory.set(self.head_bytes + FIELD_OBJECT_BYTES * self._field_count)
-
-    def _piece_end(self, data: bytes, start: int) -> int:
-        """Return the end of the part of `data` from `start` on that is parsed next."""
         state = self._connection.state
         if state in (AWAITING_RESPONSE, READING_HEAD):
             return self._head_boundary.find(data, start)
+        end = start + max_bytes
         if state in (READING_BODY, STREAMING) and self.has_known_length:
-            return start + max(1, self.content_length - self._received_body_bytes)
-        return len(data)
+            end = start + max(1, self.content_length - self._received_body_bytes)
+        return min(len(data), end)
 
-    def _feed_piece(self, data: bytes) -> None:
+    def feed(self, data: bytes | memoryview) -> None:
+        """Parse a part of the data that was read, and apply the resulting events to the connection's state."""
         connection = self._connection
         if connection.state == COMPLETE:
-            self._begin_duplicate_check(data)
+            self._begin_duplicate_check(bytes(data[: len(HTTP_VERSION_PREFIX)]))
         self._wire_bytes += len(data)
+        body_bytes = self._received_body_bytes
         try:
             self._http_parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._on_invalid_data()
         if connection.state in (AWAITING_RESPONSE, READING_HEAD):
             self.head_bytes += len(data)
+        if connection.state in (READING_HEAD, READING_BODY):
+            self._head_memory.set(self.head_bytes + FIELD_OBJECT_BYTES * self._field_count)
         if self.is_chunked:
-            self._check_chunked_end(data)
+            self._check_chunked_end(bytes(data[-CHUNKED_END_BYTES:]))
+            self._count_framing(len(data) if body_bytes == self._received_body_bytes else 0)
         if self._duplicate:
             self._judge_duplicate(self._duplicate)
 
+    def flush(self) -> None:
+        """Do nothing: all that was parsed is reported."""
+
+    def _count_framing(self, size: int) -> None:
+        """Bound chunk extensions and trailer fields, as heads are."""
+        self._framing_bytes = self._framing_bytes + size if size else 0
+        if self._framing_bytes > MAX_HEAD_BYTES and self._connection.state in (READING_BODY, STREAMING):
+            self._connection.transition(INVALIDATE)
+
     def _judge_duplicate(self, duplicate: DuplicateCheck) -> None:
         if self._wire_bytes > self._max_wire_bytes:
             duplicate.on_invalid_data()  # longer than the response, so no duplicate
@@ -191,9 +204,9 @@
         elif connection.state != INVALID:
             connection.transition(INVALIDATE)
 
-    def _check_chunked_end(self, data: bytes) -> None:
+    def _check_chunked_end(self, last_bytes: bytes) -> None:
         """Notice empty lines behind a chunked body, which httptools skips without a callback."""
-        self._chunked_tail = (self._chunked_tail + data[-CHUNKED_END_BYTES:])[-CHUNKED_END_BYTES:]
+        self._chunked_tail = (self._chunked_tail + last_bytes)[-CHUNKED_END_BYTES:]
         if self._connection.state == COMPLETE:
             tail = self._chunked_tail
             if not tail.endswith(CHUNKED_END) or tail[:1] == b"\n":
@@ -203,10 +216,10 @@
         """Judge what follows the response; `data` is its beginning, empty if it is no message."""
         self._connection.transition(EXTRA_DATA)
         is_held = not self.exceeds_buffer and self._is_served_status(self.status)
-        body = b"".join(self._body_parts) if is_held else None
+        body = bytes(self._body) if is_held else None
         self._max_wire_bytes = 2 * self._wire_bytes + MAX_HEAD_BYTES  # with interim responses before the duplicate
         self._duplicate = DuplicateCheck(self.status, self._fields_digest, body)
-        if not HTTP_VERSION_PREFIX.startswith(data[: len(HTTP_VERSION_PREFIX)]) or not data:
+        if not data or not HTTP_VERSION_PREFIX.startswith(data):
             self._duplicate.on_invalid_data()
 
     @property
@@ -253,19 +266,20 @@
             # The header may name further hop-by-hop headers (RFC 9110, 7.6.1).
             named = {part.strip() for part in option.split(b",")}
             headers = [header for header in headers if header[0] not in named]
-        return EndpointResponse(self.status, headers, b"".join(self._body_parts) if self._body_parts else b"")
+        return EndpointResponse(self.status, headers, bytes(self._body))
 
     def release_body(self) -> None:
         """Drop the buffered part of the body and release its memory, and that of the head."""
         self._head_memory.set(0)
         self._memory.release(self.body_bytes)
-        self._body_parts = []
+        self._body = bytearray()
         self.body_bytes = 0
 
     # -- callbacks of httptools
 
     def on_message_begin(self) -> None:
         """Handle the first byte of a message."""
+        self.work += 1
         connection = self._connection
         if connection.state == COMPLETE:
             self._begin_duplicate_check(HTTP_VERSION_PREFIX)  # httptools compares it
@@ -276,6 +290,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Handle a header field; trailers are ignored."""
+        self.work += 1
         if self._duplicate:
             self._duplicate.on_header(name, value)
         if self._connection.state != READING_HEAD:
@@ -327,6 +342,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Handle a part of the body."""
+        self.work += 1
         connection = self._connection
         if self._duplicate:
             self._duplicate.on_body(data)
@@ -346,7 +362,7 @@
             connection.transition(INVALIDATE)
             return
         self.body_bytes += len(data)
-        self._body_parts.append(data)
+        self._body += data
 
     def on_message_complete(self) -> None:
         """Handle the end of a message, an interim or the final response."""
@@ -354,6 +370,7 @@
         if self._duplicate:
             self._duplicate.on_message_complete()
         elif connection.state == READING_HEAD:
+            self.work += INTERIM_WORK
             connection.transition(INVALIDATE if self.status == SWITCHING_PROTOCOLS else INTERIM_END)
             head_bytes = self.head_bytes
             self.reset()
--- a/tests/listeners/test_data_behind_requests.py
+++ b/tests/listeners/test_data_behind_requests.py
@@ -79,6 +79,8 @@
                 else:
                     writer.write(OK_RESPONSE)
         except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
             writer.close()
 
 
--- a/tests/net.py
+++ b/tests/net.py
@@ -65,7 +65,9 @@
                 else:
                     writer.write(OK_RESPONSE)
         except (asyncio.IncompleteReadError, ConnectionError):
-            writer.close()
+            pass
+        finally:
+            writer.close()  # also where the loop ends first: a writer's finalizer would raise at any later time
 
 
 class Discovery:
--- a/tests/standing/test_one_fast_client.py
+++ b/tests/standing/test_one_fast_client.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from gateusher.listeners import input_turns
+from gateusher.base import input_turns
 
 from ..helpers import wait_until
 from ..net import OK_RESPONSE, Endpoint, Writer, at_most_once_request, idempotent_request, run, run_sidecar
@@ -83,9 +83,10 @@
             parse = input_turns.InputTurns.parse
 
             def count_and_parse(self: input_turns.InputTurns, data: bytes) -> None:
-                before = self._parser.request_count
+                parser = self._parser
+                before = getattr(parser, "request_count", 0)
                 parse(self, data)
-                turns.append(self._parser.request_count - before)
+                turns.append(getattr(parser, "request_count", 0) - before)
 
             monkeypatch.setattr(input_turns.InputTurns, "parse", count_and_parse)
             reader, writer = await r.connect()
@@ -95,8 +96,7 @@
             answer = b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n"
             assert await reader.readexactly(len(answer) * count) == answer * count
             await wait_until(lambda: sum(turns) == count)
-            slice_requests = input_turns.SLICE_BYTES // len(request) + 1
-            assert max(turns) <= input_turns.MAX_REQUESTS_PER_TURN + slice_requests
+            assert max(turns) <= 16
             assert r.sidecar.node.memory.in_use == 0
             writer.close()
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -1,6 +1,7 @@
 """The layers of the package: imports lead only to lower layers, and the core contains no client syntax."""
 
 import ast
+import gc
 from pathlib import Path
 
 PACKAGE = Path(__file__).parent.parent / "gateusher"
@@ -34,11 +35,20 @@
 STAND_INS = "standins"  # outside the layers: imports only `base`, and only `cli` imports it
 
 
+def parsed(path: Path) -> ast.Module:
+    """Parse without garbage collections: CPython 3.11 fails if a finalizer's error is formatted meanwhile."""
+    gc.disable()
+    try:
+        return ast.parse(path.read_text())
+    finally:
+        gc.enable()
+
+
 def imported_parts(path: Path) -> set[str]:
     """Return the parts of the package that a module imports, including imports for type checking."""
     parts = path.relative_to(PACKAGE).with_suffix("").parts
     found = set()
-    for node in ast.walk(ast.parse(path.read_text())):
+    for node in ast.walk(parsed(path)):
         if isinstance(node, ast.ImportFrom) and node.level:
             base = list(parts[: len(parts) - node.level])
             names = [node.module] if node.module else [alias.name for alias in node.names]
@@ -87,7 +97,7 @@
     """Return the package's modules that a module imports, including for type checking, without parent packages."""
     package = name.split(".") if path.name == "__init__.py" else name.split(".")[:-1]
     found = set()
-    for node in ast.walk(ast.parse(path.read_text())):
+    for node in ast.walk(parsed(path)):
         if isinstance(node, ast.ImportFrom):
             base = package[: len(package) - node.level + 1] if node.level else []
             source = ".".join([*base, *([node.module] if node.module else [])])
