Listener: a complete request that is answered early is dropped

The answer to an upload may come while its last part waits for what follows it; the request was left to be submitted. By reading: nothing after that answer submits it, but the part's memory stayed reserved. It is dropped with the answer now.

--- a/gateusher/listeners/client_connection.py
+++ b/gateusher/listeners/client_connection.py
@@ -520,6 +520,7 @@
         response = final.response
         if call is self._uploading:
             # It is answered before its last byte: the rest is discarded, and no request can follow on the connection.
+            self._drop_complete_request()
             self._uploading = None
             self._discards_input = True
             self._parser.abandon_request()
