--- a/rig/soak/servers.py
+++ b/rig/soak/servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 from random import Random
 from typing import Any
@@ -18,6 +19,15 @@
 MEAN_WORK_S = 0.01  # of a request without a fault
 
 
+def bind_shared(port: int) -> socket.socket:
+    """Return a socket that is bound to a port of this machine, 0 for any, beside others of this kind."""
+    sock = socket.socket()
+    for option in (socket.SO_REUSEADDR, socket.SO_REUSEPORT):
+        sock.setsockopt(socket.SOL_SOCKET, option, 1)
+    sock.bind(("127.0.0.1", port))
+    return sock
+
+
 class SoakEndpoint:
     """One endpoint: records arrivals and executions; some responses are late, faulty or missing."""
 
@@ -26,15 +36,15 @@
         self.is_unresponsive = False  # executes requests without responding
         self.draining = False
         self.born_ms = 0
-        self.port = 0
+        self._reservation = bind_shared(0)  # never listens: no connection takes the port while the endpoint is down
+        self.port: int = self._reservation.getsockname()[1]
         self._server: asyncio.Server | None = None
         self.connections: set[_EndpointConnection] = set()
 
     async def start(self) -> None:
         """Start to listen; after a crash, on the same port as before."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: _EndpointConnection(self), "127.0.0.1", self.port)
-        self.port = self._server.sockets[0].getsockname()[1]
+        self._server = await loop.create_server(lambda: _EndpointConnection(self), sock=bind_shared(self.port))
 
     def crash(self) -> None:
         """Reset all connections and refuse new ones until `start`."""
