Upstream: a response whose rest waits for its turn is not completed by a close

Found by reading the change: a connection that is lost while input waits took a complete response as alone, though what follows it was not judged. It counts as reset now.

--- a/gateusher/upstream/connection.py
+++ b/gateusher/upstream/connection.py
@@ -524,8 +524,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Handle the end of the connection, closed by either side (asyncio.Protocol)."""
         self._transport = None
+        if not self._turns.is_waiting:
+            self._end_complete_response()
         self._turns.close()
-        self._end_complete_response()
         if self.state != CLOSED:
             self.transition(CLOSE)
         self._pool.on_connection_lost(self)
