--- a/tests/standing/process.py
+++ b/tests/standing/process.py
@@ -5,7 +5,7 @@
 import os
 import sys
 import tomllib
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 
@@ -43,10 +43,22 @@
     """A daemon process, its addresses and its configuration file."""
 
     def __init__(
-        self, process: asyncio.subprocess.Process, address: tuple[str, int], admin: tuple[str, int], config: Path
+        self,
+        start: Callable[[], Awaitable[asyncio.subprocess.Process]],
+        process: asyncio.subprocess.Process,
+        address: tuple[str, int],
+        admin: tuple[str, int],
+        config: Path,
     ) -> None:
+        self._start = start
         self.process, self.address, self.admin, self.config = process, address, admin, config
 
+    async def restart(self) -> None:
+        """Kill the process and start it again at the same addresses."""
+        self.process.kill()
+        await self.process.wait()
+        self.process = await self._start()
+
     async def wait_for_log(self, text: bytes) -> bytes:
         """Return the next line of the log that contains `text`."""
         assert self.process.stderr
@@ -131,27 +143,31 @@
     )
     conf["settings"].update(settings or {})
     path.write_text(json.dumps(conf))
-    process = await asyncio.create_subprocess_exec(
-        "sh",
-        "-c",
-        f"ulimit -n {descriptor_limit}; {command}",
-        cwd=ROOT,
-        stderr=stderr,
-        env={
-            **os.environ,
-            **(env or {}),
-            "BALANCER_CONFIG": str(path),
-            "TMPDIR": str(temporary),
-            "BALANCER_ADMIN_ADDR": "{}:{}".format(*admin),
-            "BALANCER_DISCOVERY": f"127.0.0.1:{discovery}",
-        },
-    )
+
+    async def start() -> asyncio.subprocess.Process:
+        return await asyncio.create_subprocess_exec(
+            "sh",
+            "-c",
+            f"ulimit -n {descriptor_limit}; {command}",
+            cwd=ROOT,
+            stderr=stderr,
+            env={
+                **os.environ,
+                **(env or {}),
+                "BALANCER_CONFIG": str(path),
+                "TMPDIR": str(temporary),
+                "BALANCER_ADMIN_ADDR": "{}:{}".format(*admin),
+                "BALANCER_DISCOVERY": f"127.0.0.1:{discovery}",
+            },
+        )
+
+    daemon = DaemonProcess(start, await start(), address, admin, path)
     try:
-        yield DaemonProcess(process, address, admin, path)
+        yield daemon
     finally:
-        if process.returncode is None:
-            process.kill()
-        await process.wait()
+        if daemon.process.returncode is None:
+            daemon.process.kill()
+        await daemon.process.wait()
 
 
 @asynccontextmanager
--- a/tests/standing/test_memory_limit.py
+++ b/tests/standing/test_memory_limit.py
@@ -2,69 +2,21 @@
 
 import asyncio
 import socket
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import pytest
 
-from rig.process_memory import KB_PER_MB, peak_resident_kb
+from ..net import at_most_once_request, idempotent_request, run
+from .crowded_daemon import run_with_usual_clients
 
-from ..net import Discovery, at_most_once_request, host_entry, idempotent_request, read_message, run
-from .process import DaemonProcess, run_daemon, wait_until_serving
-from .usual_clients import UsualClients
-
-DESCRIPTORS = 1024
 MEMORY_MB = [32, 64]  # the least that the pages name, and a usual one
-LONG_ANSWER_BYTES = 8 << 20
 LONG_BODY_BYTES = 4 << 20
 SMALL_RECEIVE_BUFFER_BYTES = 16 << 10
 
 Crowd = Callable[[tuple[str, int]], Awaitable[None]]
 
 
-async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    """Answer as an endpoint: with a long body where the id asks for it."""
-    try:
-        while True:
-            head, _ = await read_message(reader)
-            if b"X-Request-Id: long" not in head:
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-                continue
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % LONG_ANSWER_BYTES)
-            for _ in range(LONG_ANSWER_BYTES >> 16):
-                writer.write(bytes(1 << 16))
-                await writer.drain()
-    except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, ConnectionError, asyncio.CancelledError):
-        writer.close()
-
-
-@asynccontextmanager
-async def run_with_usual_clients(folder: Path, memory_mb: int) -> AsyncIterator[tuple[DaemonProcess, UsualClients]]:
-    """Run a daemon with these limits beside usual clients, and check what must hold."""
-    servers = [await asyncio.start_server(serve, "127.0.0.1", 0) for _ in range(4)]
-    discovery = Discovery([host_entry(f"e{i}", s.sockets[0].getsockname()[1]) for i, s in enumerate(servers)])
-    await discovery.start()
-    async with run_daemon(
-        folder,
-        discovery.hosts,
-        discovery.port,
-        memory_mb=memory_mb,
-        sockets=DESCRIPTORS,
-        stderr=asyncio.subprocess.DEVNULL,
-    ) as daemon:
-        await wait_until_serving(daemon.process, daemon.address)
-        usual = UsualClients(daemon.address)
-        yield daemon, usual
-        await usual.finish()
-        assert daemon.process.returncode is None, "the process has ended"
-        peak_mb = peak_resident_kb(daemon.process.pid) / KB_PER_MB
-        assert peak_mb <= memory_mb, f"{peak_mb:.1f} MB resident"
-        usual.assert_answered()
-    for server in [*servers, discovery.server]:
-        server.close()
-
-
 async def write_slowly(address: tuple[str, int], data: bytes, parts: int, pause_s: float) -> None:
     """Send `data` in equal parts, and then stay until the sidecar closes."""
     try:
