Connections that have ended leave memory at once, without a garbage collection

Cause: a connection to an endpoint whose dial failed, or was given up, was released by the pool but never took leave of its parser; httptools and the parser refer to each other and to the connection. The cancelled dial held it by its exception's traceback too. A client's connection with a forwarded body was kept by that body's deadline.

Mend: one method ends a connection, whether it was ever up or not; the client's connection drops the deadline.

Tests: 3 of 3 failed before with 5 of 5 connections kept, and pass.

--- a/gateusher/base/input_turns.py
+++ b/gateusher/base/input_turns.py
@@ -135,5 +135,6 @@
     def close(self) -> None:
         """Drop what waits, the connection and its parser, which refer back to this object."""
         self._keep(b"")
-        self._owner = None
-        del self._parser
+        if self._owner:
+            self._owner = None
+            del self._parser
--- a/gateusher/listeners/client_connection.py
+++ b/gateusher/listeners/client_connection.py
@@ -113,6 +113,7 @@
         self._transport = None
         self._drop_complete_request()
         self._uploading = None
+        self._upload_deadline = None  # it refers back to this object
         self._parser.close()
         self._turns.close()
         self._pacer.close()
--- a/gateusher/upstream/connection.py
+++ b/gateusher/upstream/connection.py
@@ -533,6 +533,15 @@
         self._end_stream_incomplete()
         if self.attempt:
             self.abort_after_connection_error()
+        self.dispose()
+
+    def dispose(self) -> None:
+        """Break the reference cycles of a connection that has ended, also of one that was never up.
+
+        Without it they would stay in memory until one of the rare garbage collections.
+        """
+        self.dial_task = None
+        self._turns.close()
         self._parser.close()
 
     def _detach_attempt(self) -> Attempt:
--- a/gateusher/upstream/pool.py
+++ b/gateusher/upstream/pool.py
@@ -218,9 +218,14 @@
         task = connection.dial_task = self.loop.create_task(self._dial(connection))
         connection.start_dial_timer(self._dial_timeout_s)
         # A task that is cancelled before its first step runs none of its code, so it can't release the descriptor.
-        task.add_done_callback(lambda done: self.on_connection_lost(connection) if done.cancelled() else None)
+        task.add_done_callback(lambda done: self._on_dial_ended(connection) if done.cancelled() else None)
         return connection
 
+    def _on_dial_ended(self, connection: Connection) -> None:
+        """Release a connection that was not up when its dial ended."""
+        self.on_connection_lost(connection)
+        connection.dispose()
+
     async def _dial(self, connection: Connection) -> None:
         def on_local_failure(error: OSError) -> None:
             if not connection.dial_failed_locally:
@@ -233,7 +238,7 @@
             connection.dial_task = None
             if connection.attempt:
                 connection.abort_after_connection_error()
-            self.on_connection_lost(connection)
+            self._on_dial_ended(connection)
 
     def release(self, connection: Connection) -> None:
         """Take back a connection whose response is complete, unless its endpoint was removed or changed meanwhile."""
--- a/gateusher/upstream/response_parser.py
+++ b/gateusher/upstream/response_parser.py
@@ -104,6 +104,7 @@
         self._head_memory = Reservation(memory)
         self.started_ms = 0.0
         self.work = 0  # callbacks
+        self._is_closed = False
         self.reset()
 
     def reset(self) -> None:
@@ -136,8 +137,10 @@
     def close(self) -> None:
         """Break the reference cycles with httptools and the connection; `feed` must not be called afterwards."""
         self._head_memory.set(0)
-        del self._http_parser
-        del self._connection
+        if not self._is_closed:
+            self._is_closed = True
+            del self._http_parser
+            del self._connection
 
     @property
     def is_stopped(self) -> bool:
