Reads are as long as a turn gets through, and all connections share an iteration

Cause: each read returned all that the kernel held, up to 64 KB, and what one turn did not parse waited in memory; 600 clients at once are 38 MB, entered in the account beyond its limit. A turn was bounded for each connection, not for all together: 600 turns of 128 callbacks are an iteration of 0.15 s and more. Clients that had their last answer were read at full speed, without any bound.

Mend: connections read into a buffer of their event loop and copy what came; a connection's reads begin at 4 KB, grow while they are filled and are parsed at once, and are short again where they are not. A queue lets 8 turns begin in an iteration; input of a connection whose latest was costly, in callbacks or in bytes of a body, waits there, and so does input that is discarded. Requests are entered with what they take beside their message.

--- a/gateusher/base/errors.py
+++ b/gateusher/base/errors.py
@@ -48,7 +48,7 @@
 
 async def connect(
     loop: asyncio.AbstractEventLoop,
-    factory: Callable[[], asyncio.Protocol],
+    factory: Callable[[], asyncio.BaseProtocol],
     address: tuple[str, int],
     on_local_error: Callable[[OSError], None],
 ) -> None:
--- a/gateusher/base/input_turns.py
+++ b/gateusher/base/input_turns.py
@@ -7,15 +7,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import Final, Protocol
 
 from .limits import MemoryBudget, Reservation
+from .turn_queue import TurnQueue
 
 MAX_WORK_PER_TURN: Final = 128  # in callbacks of a parser, or what takes as long
 # Of input whose framing is not known: a slice may cause a callback for every few bytes, so it begins short.
 MIN_SLICE_BYTES: Final = 1024
 MAX_SLICE_BYTES: Final = 8192
+BYTES_PER_WORK: Final = 256  # of a body, which take about as long to pass on as a callback
+COSTLY_WORK: Final = 64  # of one part of the input; an ordinary request causes less
 FEW_CALLBACKS: Final = 4  # after a slice with so few the next one may be longer
 
 
@@ -47,6 +49,9 @@
     def pause_for_turn(self) -> None:
         """Stop reading until the next turn."""
 
+    def shorten_reads(self) -> None:
+        """Read less at once: one turn does not suffice for what was read."""
+
     def resume_after_turn(self) -> None:
         """Read again: nothing waits any more."""
 
@@ -55,21 +60,23 @@
 
 
 class InputTurns:
-    """The turns of one connection.  `call_soon` schedules a callback for the event loop's next iteration."""
+    """The turns of one connection, of which `queue` decides when they begin."""
 
     def __init__(
         self,
         owner: TurnOwner,
         parser: TurnParser,
-        call_soon: Callable[[Callable[[], None]], object],
+        queue: TurnQueue,
         memory: MemoryBudget | None = None,
     ) -> None:
         self._owner: TurnOwner | None = owner
         self._parser = parser
-        self._call_soon = call_soon
+        self._queue = queue
         self._memory = Reservation(memory) if memory else None
         self._waiting = b""
         self._is_suspended = False
+        self._is_costly = False  # the latest input was, so that the next one waits for a turn from its first byte on
+        self._is_proceeding = False
         self._slice_bytes = MIN_SLICE_BYTES
 
     @property
@@ -77,20 +84,32 @@
         """Whether input waits for the next turn."""
         return bool(self._waiting)
 
+    @property
+    def waiting_bytes(self) -> int:
+        """The length of the input that waits."""
+        return len(self._waiting)
+
     def parse(self, data: bytes) -> None:
         """Parse as much as the turn allows, and keep the rest.  Raises what the parser raises."""
+        if self._is_costly and not self._is_proceeding and not self._queue.try_admit():
+            self._wait(data)
+            return
         parser = self._parser
-        last_work = parser.work + MAX_WORK_PER_TURN
+        first_work = parser.work
+        last_work = first_work + MAX_WORK_PER_TURN
         start = 0
         while start < len(data) and not parser.is_stopped:
             if parser.work >= last_work:
                 self._wait(data[start:])
+                if self._owner:
+                    self._owner.shorten_reads()
                 break
             work = parser.work
             end = parser.piece_end(data, start, self._slice_bytes)
             parser.feed(data if end - start == len(data) else memoryview(data)[start:end])
             self._adapt_slice(parser.work - work)
             start = end
+        self._is_costly = parser.work - first_work > COSTLY_WORK
         parser.flush()
 
     def _adapt_slice(self, work: int) -> None:
@@ -108,14 +127,14 @@
         if self._is_suspended:
             self._is_suspended = False
             if self._waiting:
-                self._call_soon(self.proceed)
+                self._queue.schedule(self.proceed)
 
     def _wait(self, rest: bytes) -> None:
         if not self._owner:
             return
         self._keep(rest)
         self._owner.pause_for_turn()
-        self._call_soon(self.proceed)
+        self._queue.schedule(self.proceed)
 
     def proceed(self) -> None:
         """Begin the next turn of what waits."""
@@ -123,7 +142,9 @@
         if not data or not self._owner or self._is_suspended:
             return
         self._keep(b"")
+        self._is_proceeding = True
         self._owner.data_received(data)
+        self._is_proceeding = False
         if not self._waiting and self._owner:
             self._owner.resume_after_turn()
 
@@ -135,6 +156,7 @@
     def close(self) -> None:
         """Drop what waits, the connection and its parser, which refer back to this object."""
         self._keep(b"")
+        self._queue.cancel(self.proceed)
         if self._owner:
             self._owner = None
             del self._parser
--- a/gateusher/base/limits.py
+++ b/gateusher/base/limits.py
@@ -9,6 +9,7 @@
 # Standard streams, poller, signals, listeners, handover and discovery use a dozen descriptors, admin connections 16;
 # the others cover descriptors that are being closed.
 SPARE_DESCRIPTORS = 40
+MAX_CLOSING_DESCRIPTORS = 12  # of the spare ones
 MIN_SERVING_DESCRIPTORS = 8  # non-spare descriptors without which no client can be served
 MIN_DESCRIPTORS = SPARE_DESCRIPTORS + MIN_SERVING_DESCRIPTORS
 CLIENT_SHARE = 0.6  # share of the non-spare descriptors for client connections; endpoints need the rest
@@ -16,7 +17,10 @@
 MIN_IDLE_CLIENTS = 4
 MEMORY_OVERCOMMIT_RATIO = 1.25  # of the limit, for responses of endpoints
 MIN_MESSAGE_BYTES = 1 << 20  # without which nothing can be served, whatever the process takes otherwise
+MIN_PRESSED_CONNECTIONS = 64  # which are allowed close to the memory limit too
 CONNECTION_BYTES = 6144  # of one connection without messages: socket, transport, parser and their state
+MEASURED_GROWTH_BYTES = 131072  # after which the process's memory is measured again
+REQUEST_BYTES = 2048  # of a request without its message: its state, its attempts and their timers
 SCARCE_MEMORY_DIVISOR = 2  # memory is scarce once more than half of the limit is in use
 
 
@@ -57,6 +61,11 @@
         self.in_use = 0
         self._shared = shared
         self.connection_count = 0
+        self.is_pressed = False  # the process is close to its memory limit, as it was measured last
+        self.on_growth: Callable[[], None] | None = None  # called when what was taken since the last call is much
+        self._growth_bytes = 0
+        self._measured_limit = inf
+        self._connection_limit = inf
         self.resize(limit, total)
 
     def resize(self, limit: int, total: float = inf) -> None:
@@ -68,6 +77,7 @@
         """Count a connection, of a client or to an endpoint."""
         self.connection_count += 1
         self._apply_limits()
+        self.note_growth(CONNECTION_BYTES)
 
     def connection_closed(self) -> None:
         """Discount a connection."""
@@ -76,12 +86,40 @@
 
     def _apply_limits(self) -> None:
         left = (self._total - self.connection_count * CONNECTION_BYTES) / MEMORY_OVERCOMMIT_RATIO
-        self.limit = int(min(self._max_limit, max(MIN_MESSAGE_BYTES, left)))
+        self.limit = int(min(self._max_limit, max(MIN_MESSAGE_BYTES, min(left, self._measured_limit))))
+
+    def apply_headroom(self, headroom_bytes: float, is_pressed: bool) -> None:
+        """Bound what is held to `headroom_bytes` more than now, as measured for the process as a whole.
+
+        What is counted here may be less than what the process takes for it.  A process that holds little is not
+        pressed: what it takes otherwise is free inside its allocator, or can't be freed.
+        """
+        holds_little = self.connection_count <= MIN_PRESSED_CONNECTIONS and self.in_use <= MIN_MESSAGE_BYTES
+        is_pressed = is_pressed and not holds_little
+        if not is_pressed:
+            self._connection_limit = inf
+        elif not self.is_pressed:
+            self._connection_limit = max(MIN_PRESSED_CONNECTIONS, self.connection_count)
+        self.is_pressed = is_pressed
+        self._measured_limit = (self.in_use + headroom_bytes) / MEMORY_OVERCOMMIT_RATIO
+        self._apply_limits()
+
+    def note_growth(self, size: int) -> None:
+        """Record bytes that the process may have come to take since its memory was measured."""
+        self._growth_bytes += size
+        if self._growth_bytes >= MEASURED_GROWTH_BYTES and self.on_growth:
+            self._growth_bytes = 0
+            self.on_growth()
+
+    @property
+    def allows_connection(self) -> bool:
+        """Whether there may be one more connection: close to the memory limit no more than there are then."""
+        return self.connection_count < self._connection_limit
 
     @property
     def is_scarce(self) -> bool:
         """Whether memory should be left to requests that need it only briefly."""
-        return self.in_use * SCARCE_MEMORY_DIVISOR > self.limit
+        return self.is_pressed or self.in_use * SCARCE_MEMORY_DIVISOR > self.limit
 
     def acquire(self, size: int, may_exceed: bool = False) -> bool:
         """Reserve `size` bytes; return False if they exceed the limit.
@@ -93,6 +131,7 @@
         if self._shared and not self._shared.acquire(size, may_exceed):
             return False
         self.in_use += size
+        self.note_growth(size)
         return True
 
     def acquire_for_response(self, size: int) -> bool:
@@ -156,7 +195,7 @@
 
         At the limit an idle connection is closed for it, which still counts until its close completes.
         """
-        if self.used >= self.limit and not self.reclaim():
+        if self.used >= self.limit and (self.used >= self.limit + MAX_CLOSING_DESCRIPTORS or not self.reclaim()):
             return False
         if self._shared and not self._shared.acquire(1):
             if not self.reclaim():
--- a/gateusher/discovery/call.py
+++ b/gateusher/discovery/call.py
@@ -18,6 +18,7 @@
 from ..base.errors import connect
 from ..base.input_turns import InputTurns
 from ..base.log import log_event
+from ..base.turn_queue import TurnQueue
 from .list_stream import ListInterrupted, ListStream
 from .lists import EndpointListError
 
@@ -55,7 +56,7 @@
         self._owner = owner
         self.number = number
         self._parser = httptools.HttpResponseParser(self)
-        self._turns = InputTurns(self, self, self._call_soon)
+        self._turns = InputTurns(self, self, TurnQueue(self._call_soon))
         self.work = 0  # callbacks of the parser
         self._loop: asyncio.AbstractEventLoop  # from `connect` on
         self._host = ""
@@ -153,6 +154,9 @@
         if self._transport and not self._transport.is_closing():
             self._transport.pause_reading()
 
+    def shorten_reads(self) -> None:
+        """Nothing: a list is read whole."""
+
     def resume_after_turn(self) -> None:
         """Read again: no input waits any more."""
         if self._transport and not self._transport.is_closing():
--- a/gateusher/listeners/client_connection.py
+++ b/gateusher/listeners/client_connection.py
@@ -17,7 +17,9 @@
 
 from ..base.diagnostics import Invariant
 from ..base.input_turns import InputTurns
-from ..base.limits import MemoryBudget, Reservation
+from ..base.limits import REQUEST_BYTES, MemoryBudget, Reservation
+from ..base.read_buffer import ReadBuffer, ReadSize
+from ..base.turn_queue import TurnQueue
 from ..core.engine import ClientRequest, FinalResponse
 from ..core.states import OPEN
 from ..upstream.interface import STATUSES_WITHOUT_BODY, EndpointResponse
@@ -55,6 +57,8 @@
 
     loop: asyncio.AbstractEventLoop
     memory: MemoryBudget
+    read_buffer: ReadBuffer
+    turn_queue: TurnQueue
 
     @property
     def accept_queue_empty_at_s(self) -> float:
@@ -68,14 +72,15 @@
         """The connection is closed and its descriptor free."""
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """A client's connection, from accept(2) until its descriptor is closed."""
 
     def __init__(self, owner: ConnectionOwner) -> None:
         now_s = owner.loop.time()
         self._owner = owner
         self._parser = RequestParser(self)
-        self._turns = InputTurns(self, self._parser, owner.loop.call_soon, owner.memory)
+        self._turns = InputTurns(self, self._parser, owner.turn_queue, owner.memory)
+        self._read_size = ReadSize(owner.read_buffer)
         self._head_memory = Reservation(owner.memory)  # of a head that is not complete
         self._response_memory = Reservation(owner.memory)  # of responses that the kernel has not taken
         self._pacer = StreamPacer(owner.loop, self._unsent_bytes, self._note_activity)
@@ -96,7 +101,7 @@
         self._upload_deadline: UploadDeadline | None = None  # of that request
         self._read_pause = ReadPause(self._receive_timer, self._unread_input)
 
-    # -- asyncio.Protocol
+    # -- asyncio.BufferedProtocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """The loop has attached the connection."""
@@ -116,6 +121,7 @@
         self._upload_deadline = None  # it refers back to this object
         self._parser.close()
         self._turns.close()
+        self._owner.turn_queue.cancel(self.resume_after_turn)
         self._pacer.close()
         self._head_memory.set(0)
         self._response_memory.set(0)
@@ -156,9 +162,18 @@
         else:
             self._write_responses()
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read."""
+        return self._read_size.part()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle what was read into the buffer."""
+        self.data_received(self._read_size.take(nbytes))
+
     def data_received(self, data: bytes) -> None:
         """Parse input of any length; the parser calls back for what it contains."""
         if self._discards_input:
+            self._await_turn_to_discard()
             return
         if self._uploading and self.has_disconnected:
             self._abort(CloseReason.CLIENT_DISCONNECTED)  # before the last byte of its body is forwarded
@@ -185,10 +200,21 @@
 
     # -- turns of the event loop, for the input
 
+    def _await_turn_to_discard(self) -> None:
+        """Read on at once, or in a later iteration if many others want a turn: a client may send at full speed."""
+        queue = self._owner.turn_queue
+        if not queue.try_admit():
+            self.pause_for_turn()
+            queue.schedule(self.resume_after_turn)
+
     def pause_for_turn(self) -> None:
         """Stop reading until the next turn."""
         self._read_pause.begin(PauseReason.TURN, self._transport, self._owner.loop.time())
 
+    def shorten_reads(self) -> None:
+        """Read less at once: one turn does not suffice for what was read."""
+        self._read_size.reset()
+
     def resume_after_turn(self) -> None:
         """Read again: no input waits any more."""
         self._read_pause.end(PauseReason.TURN, self._transport, self._owner.loop.time())
@@ -420,7 +446,7 @@
             parser.keep_alive,
             parser.is_http_1_0,
         )
-        request.head_memory.set(parser.held_bytes)
+        request.head_memory.set(parser.held_bytes + REQUEST_BYTES)
         return request
 
     def _begin_upload(self) -> None:
--- a/gateusher/listeners/server.py
+++ b/gateusher/listeners/server.py
@@ -12,6 +12,8 @@
 
 from ..base.limits import DescriptorBudget, MemoryBudget
 from ..base.log import log_event
+from ..base.read_buffer import ReadBuffer
+from ..base.turn_queue import TurnQueue
 from ..config.model import Names
 from ..core.engine import Engine
 from .accepting import Acceptor, create_listening_socket
@@ -56,6 +58,8 @@
         self.names = names
         self.engine = engine
         self.memory = memory
+        self.read_buffer = ReadBuffer(memory)
+        self.turn_queue = TurnQueue(self.loop.call_soon)
         self.authority = authority.encode()
         self.is_rehearsal = False
         self.previous_classes: dict[bytes, int] = {}  # class indexes by name as before the latest reload
--- a/gateusher/upstream/connection.py
+++ b/gateusher/upstream/connection.py
@@ -18,6 +18,8 @@
 from ..base.diagnostics import Diagnostics
 from ..base.input_turns import InputTurns
 from ..base.limits import MemoryBudget
+from ..base.read_buffer import ReadBuffer, ReadSize
+from ..base.turn_queue import TurnQueue
 from ..policy.interface import Outcome
 from ..policy.permission import Denial, endpoint_denied
 from .interface import MIN_ATTEMPT_MS, NO_RESPONSE, Attempt, EndpointResponse
@@ -89,6 +91,8 @@
     loop: asyncio.AbstractEventLoop
     clock: Clock
     memory: MemoryBudget
+    read_buffer: ReadBuffer
+    turn_queue: TurnQueue
     diagnostics: Diagnostics
 
     @property
@@ -113,7 +117,7 @@
         """Release the connection's descriptor."""
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """A connection to `endpoint`, created before it is dialed."""
 
     def __init__(self, pool: ConnectionOwner, endpoint: EndpointConnections) -> None:
@@ -138,7 +142,8 @@
         self._upload_is_complete = False  # the transport has the complete upload
 
         self._parser = ResponseParser(self, pool.memory, pool.is_served_status)
-        self._turns = InputTurns(self, self._parser, pool.loop.call_soon, pool.memory)
+        self._turns = InputTurns(self, self._parser, pool.turn_queue, pool.memory)
+        self._read_size = ReadSize(pool.read_buffer)
         self._stream_is_paused = False
         self._stream: EndpointBodyStream | None = None
         self._unforwarded_parts: list[bytes] = []  # of its body, from the latest read
@@ -265,14 +270,14 @@
             self._pool.on_upload_written(attempt)
 
     def pause_writing(self) -> None:
-        """Handle a full send buffer of the kernel, which pauses an upload (asyncio.Protocol)."""
+        """Handle a full send buffer of the kernel, which pauses an upload (asyncio.BufferedProtocol)."""
         self._write_is_paused = True
         if self.attempt and (upload := self.attempt.message.upload):
             upload.pause()
             self._start_write_stall_timer(self.attempt)
 
     def resume_writing(self) -> None:
-        """Handle an empty write buffer: the kernel has accepted everything that was written (asyncio.Protocol)."""
+        """Handle an empty write buffer: the kernel has accepted everything that was written (asyncio)."""
         self._write_is_paused = False
         self._stop_write_stall_timer()
         if self.attempt and self.attempt.state == PARTIALLY_SENT:
@@ -306,8 +311,16 @@
 
     # -- the response
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read (asyncio.BufferedProtocol)."""
+        return self._read_size.part()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle what was read into the buffer (asyncio.BufferedProtocol)."""
+        self.data_received(self._read_size.take(nbytes))
+
     def data_received(self, data: bytes) -> None:
-        """Parse data that was read, and act on the resulting state (asyncio.Protocol)."""
+        """Parse data that was read, and act on the resulting state."""
         self.last_received_ms = self.endpoint.last_received_ms = self._pool.clock.now_ms()
         if self.state == CLOSED:
             return  # input that waited for its turn
@@ -472,6 +485,10 @@
         """Stop reading until the next turn of the event loop."""
         self._update_reading()
 
+    def shorten_reads(self) -> None:
+        """Read less at once: one turn does not suffice for what was read."""
+        self._read_size.reset()
+
     def resume_after_turn(self) -> None:
         """Read again: no input waits any more."""
         self._update_reading()
@@ -522,7 +539,7 @@
             self._transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Handle the end of the connection, closed by either side (asyncio.Protocol)."""
+        """Handle the end of the connection, closed by either side (asyncio.BufferedProtocol)."""
         self._transport = None
         if not self._turns.is_waiting:
             self._end_complete_response()
--- a/gateusher/upstream/pool.py
+++ b/gateusher/upstream/pool.py
@@ -18,6 +18,8 @@
 from ..base.limits import DescriptorBudget, MemoryBudget
 from ..base.log import log_event
 from ..base.machine import IllegalTransitionError
+from ..base.read_buffer import ReadBuffer
+from ..base.turn_queue import TurnQueue
 from ..discovery.lists import ListedEndpoint
 from ..policy.interface import NEVER_EXECUTED, EndpointState, Outcome, Settings
 from .address_owners import AddressOwners
@@ -57,6 +59,8 @@
         self.loop = asyncio.get_running_loop()
         self.clock = clock
         self.memory = memory
+        self.read_buffer = ReadBuffer(memory)
+        self.turn_queue = TurnQueue(self.loop.call_soon)
         self.diagnostics = diagnostics or Diagnostics()
         self.is_served_status = served_statuses.__contains__
         self.pulls_reports = settings.reports_pulled
