Memory: the resident set is measured, and the process acts on it before its limit

Cause: memory was bounded by an account kept by hand. What is not entered in it (state of requests, connections of attempts, objects that wait for a garbage collection, free memory of the allocator) was bounded by nothing.

Mend: a monitor reads the resident set every 0.1 s and after each 128 KB that connections may have come to take, by a descriptor that is opened at the start. From 7/8 of the limit on the process reads 1 KB at a time, retains no body, takes one request at a time from a connection and opens no further connection; from 15/16 on it collects garbage and sheds the connections with the most memory times age: a body that is arriving gets 503, a response that is not read is cut. A process with few connections is left alone: what it takes otherwise can't be freed. Each half of an upgrade watches its part of the limit.

Where the accept queue has been backed up for 0.1 s, clients that have owed the rest of a request for 0.5 s or more make room for others, and those in the queue that have sent something are no longer shut unread. Descriptors that are being closed are bounded by the spare ones. GET /_diagnostics tells the resident set, its peak and the pressure; the log tells when the pressure becomes critical; refused dials are counted by reason.

--- a/gateusher/daemon.py
+++ b/gateusher/daemon.py
@@ -16,6 +16,8 @@
 
 from .base.errors import retry_while_transient
 from .base.log import log_event
+from .base.memory_monitor import MemoryMonitor, Watermarks
+from .base.resident_memory import ResidentMemory
 from .config.model import Config
 from .handover.channel import Inheritance
 from .handover.transfer import ListenerTransfer
@@ -96,7 +98,9 @@
         self.engine = self.node.engine
         self.discovery = self.node.discovery
         self.server = self._make_server(config.listen)
+        self.node.upstream.on_connections_exhausted = self.server.make_room
         self.server.is_rehearsal = self.node.gate is not None
+        self.memory_monitor = self._make_memory_monitor()
         self.admin = self._make_admin()
         self.members: MembershipEndpoint | None = None
         self.peer_hints: PeerHints | None = None
@@ -107,7 +111,7 @@
             config.sockets,
             config.memory_mb,
             _ListenerAndMembership(self),
-            self.node.set_limits,
+            self._set_limits,
             lambda: self.node.descriptors.in_use,
             self.engine.ids,
         )
@@ -134,6 +138,25 @@
             self.node.close()
             raise
 
+    def _make_memory_monitor(self) -> MemoryMonitor | None:
+        """Return None where the process's memory is not known, or belongs to more than this sidecar."""
+        if not self.config.resident_mb:
+            return None
+        return MemoryMonitor(
+            self.node.memory,
+            ResidentMemory(),
+            Watermarks.of_limit(self.config.memory_mb, self.config.resident_mb),
+            self._loop.time,
+            self.server.shed,
+            self.node.diagnostics,
+        )
+
+    def _set_limits(self, descriptors: int, memory_mb: float) -> None:
+        """Apply the part of the limits that this process has beside a predecessor or successor."""
+        self.node.set_limits(descriptors, memory_mb)
+        if self.memory_monitor:
+            self.memory_monitor.resize(Watermarks.of_limit(memory_mb, self.config.resident_mb))
+
     def _make_admin(self) -> Admin:
         commands = {
             (b"GET", b"/_ready"): lambda: self.server.is_ready,
@@ -243,6 +266,12 @@
             "connections": memory.connection_count,
             "descriptors": descriptors.in_use,
         }
+        if self.memory_monitor:
+            resources |= {
+                "resident_bytes": self.memory_monitor.resident_bytes,
+                "peak_resident_bytes": self.memory_monitor.peak_bytes,
+                "memory_pressure": self.memory_monitor.pressure,
+            }
         return json.dumps({**self.node.diagnostics.report(), "resources": resources}).encode()
 
     def _members_page(self) -> bytes:
@@ -263,9 +292,11 @@
     # -- periodic work
 
     def _sweep(self) -> None:
+        self._sweep_timer = self._loop.call_later(LISTENER_SWEEP_INTERVAL_S, self._sweep)
+        if self.memory_monitor:
+            self.memory_monitor.check()
         self.server.sweep()
         self.transfer.tick()
-        self._sweep_timer = self._loop.call_later(LISTENER_SWEEP_INTERVAL_S, self._sweep)
 
     # -- reload
 
--- a/gateusher/listeners/accepting.py
+++ b/gateusher/listeners/accepting.py
@@ -1,4 +1,4 @@
-"""Accepts clients from the listening socket: backpressure at the descriptor limit, pauses after errors, shedding.
+"""Accepts clients from the listening socket: backpressure at the limits, pauses after errors, shedding.
 
 `Acceptor` owns the listening socket and the state of its accept queue: since when it has been backed up, and when it
 was last empty.  The accepted connections belong to its owner.
@@ -11,7 +11,7 @@
 from math import inf
 from typing import Protocol
 
-from ..base.limits import DescriptorBudget
+from ..base.limits import DescriptorBudget, MemoryBudget
 from ..base.log import log_event
 from .client_connection import ClientConnection
 from .close_reason import CloseReason
@@ -25,6 +25,7 @@
 MIN_ACCEPT_PAUSE_S = 0.005  # the first pause after a transient error; each further one is twice as long
 MAX_ACCEPT_PAUSE_S = 0.05
 MAX_ACCEPT_FAILURES = 16  # of single connections in a row, before accepting pauses
+CLOSED_AT_ONCE = 16  # connections, in favor of those in the queue
 SHED_AFTER_S = 0.1  # how long the accept queue may be backed up before silent connections in it are closed
 
 
@@ -38,8 +39,11 @@
     def add_connection(self, sock: socket.socket) -> None:
         """Serve an accepted connection, whose descriptor is already counted."""
 
-    def reclaim_connection(self) -> bool:
-        """Close one connection to free its descriptor; False if none can be closed."""
+    def reclaim_connections(self, count: int) -> bool:
+        """Close up to `count` connections to free their descriptors; False if none can be closed."""
+
+    def shed_slowest_connections(self, count: int) -> bool:
+        """Close up to `count` connections with the slowest clients; False if none is slow."""
 
     def silent_connections(self) -> list[ClientConnection]:
         """The connections that have never sent anything, the latest first."""
@@ -68,11 +72,18 @@
 class Acceptor:
     """Accepts from `sock` while it is started, as far as descriptors allow."""
 
-    def __init__(self, sock: socket.socket, owner: AcceptedConnections, descriptors: DescriptorBudget) -> None:
+    def __init__(
+        self,
+        sock: socket.socket,
+        owner: AcceptedConnections,
+        descriptors: DescriptorBudget,
+        memory: MemoryBudget,
+    ) -> None:
         self._loop = asyncio.get_running_loop()
         self._socket: socket.socket | None = sock
         self._owner = owner
         self._descriptors = descriptors
+        self._memory = memory
         self.is_accepting = False
         self._is_paused = False
         self._pause_s = MIN_ACCEPT_PAUSE_S  # the next pause
@@ -115,7 +126,7 @@
             self._socket = None
 
     def accept_pending(self) -> bool:
-        """Accept all pending connections, as far as descriptors allow.  Returns whether the accept queue is empty."""
+        """Accept all pending connections, as far as the limits allow.  Returns whether the accept queue is empty."""
         failures = 0
         while self._socket and self.is_accepting:
             if not self._acquire_descriptor():
@@ -146,13 +157,23 @@
         A reclaimed descriptor is free only once its connection is closed, some turns of the loop later.  Nothing is
         accepted until then, or connections would be accepted faster than others are closed.
         """
-        if self._owner.connection_count < self._descriptors.client_limit and self._descriptors.acquire():
+        has_memory = self._memory.allows_connection
+        if (
+            has_memory
+            and self._owner.connection_count < self._descriptors.client_limit
+            and self._descriptors.acquire()
+        ):
             return True
         self._note_queue_backed_up()
-        if not self._owner.reclaim_connection() and not self._shed_silent():
-            self._pause("all descriptors are in use")
+        count = CLOSED_AT_ONCE if self._is_backed_up_for_long else 1
+        if not self._owner.reclaim_connections(count) and not self._shed_slowest() and not self._shed_silent():
+            self._pause("all descriptors are in use" if has_memory else "close to the memory limit")
         return False
 
+    @property
+    def _is_backed_up_for_long(self) -> bool:
+        return self._loop.time() - self._backed_up_since_s > SHED_AFTER_S
+
     def _note_queue_empty(self) -> None:
         self._backed_up_since_s = inf
         self.queue_empty_at_s = self._loop.time()
@@ -170,7 +191,7 @@
         Limitation: it closes clients that send only some time after connecting, so it acts only after `SHED_AFTER_S`
         and if silent connections hold descriptors.  Pending connections use one of the spare descriptors in turn.
         """
-        if self._loop.time() - self._backed_up_since_s <= SHED_AFTER_S or not self._socket:
+        if not self._is_backed_up_for_long or not self._socket:
             return False
         silent = self._owner.silent_connections()
         if not silent:
@@ -186,13 +207,19 @@
                     return False
                 self._note_queue_empty()
                 break
-            if silent and _has_unread_data(sock) and self._descriptors.acquire():
+            if _has_unread_data(sock) and self._descriptors.acquire():
                 silent.pop().close(CloseReason.RECLAIMED)
                 self._owner.add_connection(sock)
             else:
                 sock.close()
+            if not silent:
+                break  # what is left in the queue may have sent something, and waits for a descriptor
         return True
 
+    def _shed_slowest(self) -> bool:
+        """Close the slowest connections if the accept queue has been backed up for long; return whether it did."""
+        return self._is_backed_up_for_long and self._owner.shed_slowest_connections(CLOSED_AT_ONCE)
+
     def _pause(self, reason: object) -> None:
         """Stop accepting for a backoff, which grows with each pause until the queue has been empty."""
         if self._socket and self.is_accepting and not self._is_paused:
--- a/gateusher/listeners/client_connection.py
+++ b/gateusher/listeners/client_connection.py
@@ -38,6 +38,7 @@
 from .upload_deadline import UploadDeadline
 
 MAX_PIPELINED_REQUESTS = 8  # clients should send one at a time
+MAX_PRESSED_PIPELINED_REQUESTS = 1  # close to the memory limit
 MAX_BUFFERED_REQUEST_BYTES = 256 << 10  # a longer body is forwarded while it is received
 WRITE_STALL_TIMEOUT_S = 6.0  # the client reads nothing of a response that is complete here
 # The same for a streamed response.  A window that is closed opens only when much of the client's receive buffer is
@@ -45,6 +46,7 @@
 STREAM_STALL_TIMEOUT_S = 60.0
 UNUSED_CONNECTION_TIMEOUT_S = 2.0  # without any request since the connection was made
 KEEP_ALIVE_TIMEOUT_S = 2.0  # idle since the last response
+LINGERING_GRACE_S = 0.2  # the same where its descriptor is needed
 LINGERING_CLOSE_S = 2.0  # input is discarded after the last response, so that no reset overtakes it
 NEW_CONNECTION_GRACE_S = 0.1  # before an unused connection may be reclaimed
 
@@ -265,12 +267,54 @@
         """
         if self._closing:
             return False
+        if self.is_lingering:
+            return now_s - self.last_active_s > LINGERING_GRACE_S
         if self._parser.in_request and not self._unanswered and not self._read_pause.is_active:
             return self._receive_timer.is_reclaimable(now_s)
         return self.is_idle and (self._has_begun_request or now_s - self.last_active_s > NEW_CONNECTION_GRACE_S)
 
+    @property
+    def is_lingering(self) -> bool:
+        """Whether the last response is written, and input behind it is discarded."""
+        return self._discards_input and not self._unanswered
+
+    @property
+    def held_bytes(self) -> int:
+        """The memory that its messages take."""
+        upload = self._uploading.upload if self._uploading else None
+        return (
+            self._head_memory.size
+            + self._response_memory.size
+            + self._turns.waiting_bytes
+            + len(self._buffered_body)
+            + (upload.held_bytes if upload else 0)
+            + sum(request.head_memory.size for request in self._unanswered)
+        )
+
+    @property
+    def sending_since_s(self) -> float | None:
+        """Since when its client owes the rest of a request; None if it doesn't, or is owed responses before."""
+        if self._transport is None or not self._parser.in_request:
+            return None
+        owes_response = any(request is not self._uploading for request in self._unanswered)
+        return None if owes_response else self._receive_timer.began_s
+
+    @property
+    def slow_since_s(self) -> float | None:
+        """Since when its client owes the rest of a request or has not read a response; None if neither."""
+        if self._transport and (self._write_blocked or self._pacer.is_waiting):
+            return self.last_active_s
+        return self.sending_since_s
+
     # -- closing and time limits
 
+    def shed(self) -> None:
+        """End a slow connection, as the process is about to reach its memory limit."""
+        if self.sending_since_s is None or self._write_blocked:
+            self._abort(CloseReason.RESPONSE_NOT_READ)
+        else:
+            self.reject(503)  # no endpoint has received the last byte
+
     def close(self, reason: CloseReason) -> None:
         """Close it once all written data has been sent; no response may be outstanding on it."""
         self._note_close(reason)
@@ -278,6 +322,13 @@
         if self._transport:
             self._transport.close()
 
+    def reclaim(self) -> None:
+        """Close it in favor of another, where `is_reclaimable` allows that."""
+        if self.is_lingering:
+            self._abort(CloseReason.RECLAIMED)
+        else:
+            self.close(CloseReason.RECLAIMED)
+
     def finish(self) -> None:
         """Close it as the process ends, interrupting a response that is still being streamed."""
         request = self._unanswered[0] if self._unanswered else None
@@ -349,7 +400,8 @@
     def on_request_line(self) -> None:
         """What has begun is a request.  Raises UnusableRequestError, which also bounds the work of a single read."""
         self._submit_complete_request()
-        if len(self._unanswered) >= MAX_PIPELINED_REQUESTS:
+        is_pressed = self._owner.memory.is_pressed
+        if len(self._unanswered) >= (MAX_PRESSED_PIPELINED_REQUESTS if is_pressed else MAX_PIPELINED_REQUESTS):
             raise UnusableRequestError(429)
         if self._unanswered and not self._unanswered[-1].keep_alive:
             raise UnusableRequestError(400)  # the response before it ends the connection
--- a/gateusher/listeners/receive_timer.py
+++ b/gateusher/listeners/receive_timer.py
@@ -17,11 +17,13 @@
     """The read deadline of the request that is being received."""
 
     def __init__(self, now_s: float) -> None:
+        self.began_s = now_s  # when the request began, or the connection was accepted
         self._deadline_s = now_s + REQUEST_READ_TIMEOUT_S
         self._last_input_s = now_s
 
     def restart(self, now_s: float) -> None:
         """Start the deadline of another request."""
+        self.began_s = now_s
         self._deadline_s = now_s + REQUEST_READ_TIMEOUT_S
 
     def input_received(self, now_s: float) -> None:
--- a/gateusher/listeners/server.py
+++ b/gateusher/listeners/server.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import socket
+from itertools import islice
 from math import inf
 
 from ..base.limits import DescriptorBudget, MemoryBudget
@@ -16,15 +17,18 @@
 from ..base.turn_queue import TurnQueue
 from ..config.model import Names
 from ..core.engine import Engine
-from .accepting import Acceptor, create_listening_socket
+from .accepting import CLOSED_AT_ONCE, Acceptor, create_listening_socket
 from .client_connection import ClientConnection
 from .close_reason import CloseReason
 from .lifecycle import DRAIN, DRAINING, ENTER_LAMEDUCK, HAND_OVER, LEAVE_LAMEDUCK, RECLAIM, SERVING, Lifecycle
+from .load_shedding import largest_slow_connections, slowest_connections
 
 MIN_IDLE_BEFORE_EVICTION_S = 0.05  # before a connection is closed because too many are idle
 PREVIOUS_CLASSES_S = 1.3  # after a reload; clients know of the new settings 1.2 s later
 DEFAULT_DRAIN_S = 3.4
 STOP_LISTENING_AFTER_S = 0.55  # of a drain; new connections arrive for 0.4 s after SIGTERM
+RECLAIM_SEARCH_INTERVAL_S = 0.01  # a search asks the kernel about each idle connection
+MAKE_ROOM_INTERVAL_S = 0.05  # what was closed last has its descriptors free by then
 CLOSE_UNUSED_AFTER_S = 0.65  # of a drain; connections without a request by then stay unused
 
 
@@ -68,11 +72,13 @@
         self._drain_s = DEFAULT_DRAIN_S
         self._descriptors = descriptors
         self._connections: set[ClientConnection] = set()
+        self._next_search_s = -inf  # when a connection may be searched for again: there was none to be closed
+        self._next_room_s = -inf  # when slow connections may be closed again for attempts
         self._attach_tasks: set[asyncio.Task[object]] = set()
         listening_socket = inherited_socket
         if listening_socket is None:
             listening_socket = create_listening_socket(address, shared)
-        self._acceptor = Acceptor(listening_socket, self, descriptors)
+        self._acceptor = Acceptor(listening_socket, self, descriptors, memory)
         if inherited_socket is None:
             self.start_accepting()
         descriptors.reclaimers.append(self.reclaim_connection)
@@ -136,12 +142,27 @@
 
     def reclaim_connection(self) -> bool:
         """Close the connection that has been idle longest, unused ones first.  False if none can be closed."""
+        return self.reclaim_connections(1)
+
+    def reclaim_connections(self, count: int) -> bool:
+        """Close up to `count` connections, in the same order.  False if none can be closed."""
         now_s = self.loop.time()
-        for connection in sorted(self._connections, key=_by_use_and_last_activity):
-            if connection.is_reclaimable(now_s):
-                connection.close(CloseReason.RECLAIMED)
-                return True
-        return False
+        if now_s < self._next_search_s:
+            return False
+        candidates = sorted(self._connections, key=_by_use_and_last_activity)
+        chosen = list(islice((c for c in candidates if c.is_reclaimable(now_s)), count))
+        for connection in chosen:
+            connection.reclaim()
+        if not chosen:
+            self._next_search_s = now_s + RECLAIM_SEARCH_INTERVAL_S
+        return bool(chosen)
+
+    def shed_slowest_connections(self, count: int) -> bool:
+        """Close up to `count` connections with the slowest clients, in favor of new ones.  False if none is slow."""
+        slowest = slowest_connections(self._connections, count, self.loop.time())
+        for connection in slowest:
+            connection.shed()
+        return bool(slowest)
 
     def silent_connections(self) -> list[ClientConnection]:
         """The connections that have never sent anything, the latest first."""
@@ -182,6 +203,19 @@
             ):
                 connection.close(CloseReason.LAMEDUCK)
 
+    def make_room(self) -> None:
+        """Close connections that are not in use, or else the slowest, as attempts find none to an endpoint."""
+        now_s = self.loop.time()
+        if now_s >= self._next_room_s:
+            self._next_room_s = now_s + MAKE_ROOM_INTERVAL_S
+            if not self.reclaim_connections(CLOSED_AT_ONCE):
+                self.shed_slowest_connections(CLOSED_AT_ONCE)
+
+    def shed(self, needed_bytes: int) -> None:
+        """Close the slowest connections, as the process is about to reach its memory limit."""
+        for connection in largest_slow_connections(self._connections, needed_bytes, self.loop.time()):
+            connection.shed()
+
     def apply_class_names(self, names: Names, previous_classes: dict[bytes, int]) -> None:
         """Use these class names from now on, and for PREVIOUS_CLASSES_S the previous ones as well."""
         self.names = names
--- a/gateusher/node.py
+++ b/gateusher/node.py
@@ -154,6 +154,7 @@
     def _sweep(self) -> None:
         # Timers fire in the order of their due times, so after a stall this one fires before the attempts' timeouts.
         late_s = self.loop.time() - self._sweep_due_s
+        self._schedule_sweep()  # first: an error below must not be the last sweep
         if late_s > STALL_THRESHOLD_S:
             log_event("clock", f"stood still for {late_s:.1f} s")
             self.engine.deliver(ProcessResumed(late_s * 1000))
@@ -162,7 +163,6 @@
         self.discovery.sweep()
         if self.gate:
             self.gate.tick()
-        self._schedule_sweep()
 
     def apply_config(self, config: Config) -> None:
         """Apply a new configuration: discovery's address, classes, attempts, retry delays, dial and idle timeouts.
--- a/gateusher/upstream/pool.py
+++ b/gateusher/upstream/pool.py
@@ -15,7 +15,7 @@
 from ..base.clock import Clock
 from ..base.diagnostics import Diagnostics
 from ..base.errors import connect
-from ..base.limits import DescriptorBudget, MemoryBudget
+from ..base.limits import MIN_PRESSED_CONNECTIONS, DescriptorBudget, MemoryBudget
 from ..base.log import log_event
 from ..base.machine import IllegalTransitionError
 from ..base.read_buffer import ReadBuffer
@@ -65,6 +65,7 @@
         self.is_served_status = served_statuses.__contains__
         self.pulls_reports = settings.reports_pulled
         self._descriptors = descriptors
+        self.on_connections_exhausted: Callable[[], None] = lambda: None  # called when there can be no new one
         self._parse_report = parse_report
         self._endpoints: dict[int, EndpointConnections] = {}
         self._addresses = AddressOwners()
@@ -210,11 +211,22 @@
                     return connection
                 self.diagnostics.note("endpoint closed", RECEIVED_WHILE_IDLE)
                 connection.close()
+        if not self._memory_allows_dial:
+            self.diagnostics.note("no connection", "close to the memory limit")
+            self.on_connections_exhausted()
+            return None
         if not self._descriptors.acquire():
             log_event("no connection", "all descriptors are in use")
+            self.diagnostics.note("no connection", "all descriptors are in use")
+            self.on_connections_exhausted()
             return None
         return self._start_dial(endpoint)
 
+    @property
+    def _memory_allows_dial(self) -> bool:
+        """Whether the process is not close to its memory limit, has few connections, or can close one instead."""
+        return self.memory.allows_connection or len(self._connections) < MIN_PRESSED_CONNECTIONS or self._reclaim()
+
     def _start_dial(self, endpoint: EndpointConnections) -> Connection:
         connection = Connection(self, endpoint)
         self._connections.add(connection)
--- a/gateusher/upstream/upload.py
+++ b/gateusher/upstream/upload.py
@@ -74,6 +74,11 @@
         self._target_is_finished = False
         self._source_is_paused = False
 
+    @property
+    def held_bytes(self) -> int:
+        """The bytes that it holds, reserved in the memory budget."""
+        return self._held_bytes
+
     @property
     def has_unknown_length(self) -> bool:
         """Whether the length of the body is unknown."""
--- a/tests/standing/crowded_daemon.py
+++ b/tests/standing/crowded_daemon.py
@@ -9,29 +9,26 @@
 from rig.process_memory import KB_PER_MB, peak_resident_kb
 
 from ..helpers import ROOT
-from ..net import Discovery, host_entry, read_message
+from ..net import Discovery, host_entry
+from .endpoints import run_endpoints
 from .process import DaemonProcess, run_daemon, wait_until_serving
 from .usual_clients import UsualClients
 
 DESCRIPTORS = 1024
-LONG_ANSWER_BYTES = 8 << 20
+ENDPOINT_PROCESSES = 2
+ENDPOINTS_OF_PROCESS = 3
 CROWD_PROCESSES = 3
 
 
-async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    """Answer as an endpoint: with a long body where the id asks for it."""
+@asynccontextmanager
+async def run_discovery(hosts: list[dict[str, object]]) -> AsyncIterator[Discovery]:
+    """Run a discovery server that lists these endpoints."""
+    discovery = Discovery(hosts)
+    await discovery.start()
     try:
-        while True:
-            head, _ = await read_message(reader)
-            if b"X-Request-Id: long" not in head:
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-                continue
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % LONG_ANSWER_BYTES)
-            for _ in range(LONG_ANSWER_BYTES >> 16):
-                writer.write(bytes(1 << 16))
-                await writer.drain()
-    except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, ConnectionError, asyncio.CancelledError):
-        writer.close()
+        yield discovery
+    finally:
+        discovery.server.close()
 
 
 @asynccontextmanager
@@ -42,18 +39,19 @@
 
     `expects_answers` is False where all descriptors may be in use: new connections may be shut unread then.
     """
-    servers = [await asyncio.start_server(serve, "127.0.0.1", 0) for _ in range(4)]
-    discovery = Discovery([host_entry(f"e{i}", s.sockets[0].getsockname()[1]) for i, s in enumerate(servers)])
-    await discovery.start()
-    async with run_daemon(
-        folder,
-        discovery.hosts,
-        discovery.port,
-        memory_mb=memory_mb,
-        sockets=descriptors,
-        descriptor_limit=descriptors,
-        stderr=asyncio.subprocess.DEVNULL,
-    ) as daemon:
+    async with (
+        run_endpoints(ENDPOINT_PROCESSES, ENDPOINTS_OF_PROCESS) as ports,
+        run_discovery([host_entry(f"e{i}", port) for i, port in enumerate(ports)]) as discovery,
+        run_daemon(
+            folder,
+            discovery.hosts,
+            discovery.port,
+            memory_mb=memory_mb,
+            sockets=descriptors,
+            descriptor_limit=descriptors,
+            stderr=asyncio.subprocess.DEVNULL,
+        ) as daemon,
+    ):
         await wait_until_serving(daemon.process, daemon.address)
         usual = UsualClients(daemon.address)
         yield daemon, usual
@@ -63,8 +61,6 @@
         assert peak_mb <= memory_mb, f"{peak_mb:.1f} MB resident"
         if expects_answers:
             usual.assert_answered()
-    for server in [*servers, discovery.server]:
-        server.close()
 
 
 @asynccontextmanager
