--- a/tests/standing/crowded_daemon.py
+++ b/tests/standing/crowded_daemon.py
@@ -74,9 +74,9 @@
             kind,
             str(clients // CROWD_PROCESSES),
             str(seed * CROWD_PROCESSES + i),
-            "{}:{}".format(*address),
             "look",
             "pay",
+            "{}:{}".format(*address),
             cwd=ROOT,
         )
         for i in range(CROWD_PROCESSES)
