Signals: SIGHUP while the process ends is no crash

Cause: the event loop removes its signal handlers as it closes, which restores the default; SIGHUP then kills the process, between the end of its drain and its exit.

Mend: the signals are blocked when the drain is complete, as they are until the handlers are installed.

Test: failed before in the first of three ends (returncode -1), and passes.

--- a/gateusher/base/signals.py
+++ b/gateusher/base/signals.py
@@ -1,4 +1,4 @@
-"""Blocks the daemon's signals until it has installed handlers for them."""
+"""Blocks the daemon's signals while it has no handlers for them: until they are installed, and as it ends."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 
 def block_signals() -> None:
-    """Block the daemon's signals so that they stay pending; must be the first call at startup.
+    """Block the daemon's signals so that they stay pending; the first call at startup, and the last at the end.
 
     Without a handler SIGHUP would end the process, and SIGTERM would drop clients that are already connected.  A
     signal that arrives before this call, while the interpreter starts, can only be blocked by the parent process (the
--- a/gateusher/cli/run.py
+++ b/gateusher/cli/run.py
@@ -137,6 +137,7 @@
     _install_signal_handlers(sidecar, path)
     _tune_garbage_collector()
     await sidecar.ended.wait()
+    signals.block_signals()  # the event loop removes their handlers: SIGHUP would end the process as a crash
     return EXIT_SUCCESS
 
 
--- a/tests/standing/test_faults.py
+++ b/tests/standing/test_faults.py
@@ -72,6 +72,9 @@
 
 # -- signals during the start
 
+RELOAD_INTERVAL_S = 0.0005
+ENDS = 3
+
 
 async def _start_during_reloads(folder: Path) -> None:
     endpoint = Endpoint()
@@ -98,6 +101,25 @@
     run(_start_during_reloads(tmp_path))
 
 
+async def _end_during_reloads(folder: Path) -> None:
+    discovery = Discovery([])
+    await discovery.start()
+    async with run_daemon(folder, [], discovery.port) as d:
+        await wait_until_serving(d.process, d.address)
+        d.process.send_signal(signal.SIGTERM)
+        while d.process.returncode is None:
+            d.process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(RELOAD_INTERVAL_S)
+        assert d.process.returncode == 0
+    discovery.server.close()
+
+
+def test_reload_signals_while_it_ends_make_it_no_crash(tmp_path: Path) -> None:
+    """Guards against the incident 546e86: a process that ended by itself, by SIGHUP after its handlers were gone."""
+    for _ in range(ENDS):
+        run(_end_during_reloads(tmp_path))
+
+
 # -- a paused process
 
 
