Memory: the watermarks are 13/16 and 7/8 of the limit; connections are capped at the second

Change: less is taken on from 13/16 on; from 7/8 on no connection is added and the slowest are shed, so that the others go on.

--- a/gateusher/base/limits.py
+++ b/gateusher/base/limits.py
@@ -88,19 +88,18 @@
         left = (self._total - self.connection_count * CONNECTION_BYTES) / MEMORY_OVERCOMMIT_RATIO
         self.limit = int(min(self._max_limit, max(MIN_MESSAGE_BYTES, min(left, self._measured_limit))))
 
-    def apply_headroom(self, headroom_bytes: float, is_pressed: bool) -> None:
+    def apply_headroom(self, headroom_bytes: float, is_pressed: bool, is_critical: bool = False) -> None:
         """Bound what is held to `headroom_bytes` more than now, as measured for the process as a whole.
 
         What is counted here may be less than what the process takes for it.  A process that holds little is not
         pressed: what it takes otherwise is free inside its allocator, or can't be freed.
         """
         holds_little = self.connection_count <= MIN_PRESSED_CONNECTIONS and self.in_use <= MIN_MESSAGE_BYTES
-        is_pressed = is_pressed and not holds_little
-        if not is_pressed:
+        self.is_pressed = is_pressed and not holds_little
+        if not is_critical or holds_little:
             self._connection_limit = inf
-        elif not self.is_pressed:
+        elif self._connection_limit == inf:
             self._connection_limit = max(MIN_PRESSED_CONNECTIONS, self.connection_count)
-        self.is_pressed = is_pressed
         self._measured_limit = (self.in_use + headroom_bytes) / MEMORY_OVERCOMMIT_RATIO
         self._apply_limits()
 
@@ -113,7 +112,7 @@
 
     @property
     def allows_connection(self) -> bool:
-        """Whether there may be one more connection: close to the memory limit no more than there are then."""
+        """Whether there may be one more connection: at the memory limit no more than there were as it was reached."""
         return self.connection_count < self._connection_limit
 
     @property
--- a/gateusher/base/memory_monitor.py
+++ b/gateusher/base/memory_monitor.py
@@ -1,9 +1,9 @@
 """Keeps the process below its memory limit by what it really takes.
 
 The budgets of `limits.py` count what messages and connections take as far as it is known.  `MemoryMonitor` compares
-the resident memory with the limit: above the high watermark the process takes on less (short reads, no more
-connections, nothing retained), above the critical watermark it also sheds the slowest connections.  It owns the state
-that results from the latest measurement.
+the resident memory with the limit: above the high watermark the process takes on less (short reads, nothing retained,
+one request of a connection at a time), above the critical watermark it opens no further connection and sheds the
+slowest ones.  It owns the state that results from the latest measurement.
 """
 
 from __future__ import annotations
@@ -17,8 +17,8 @@
 from .log import log_event
 
 BYTES_PER_MB: Final = 1048576
-HIGH_WATERMARK_SHARE: Final = 7 / 8  # of the limit
-CRITICAL_WATERMARK_SHARE: Final = 15 / 16
+HIGH_WATERMARK_SHARE: Final = 13 / 16  # of the limit
+CRITICAL_WATERMARK_SHARE: Final = 7 / 8
 # Above what a process takes before it serves, where the limit leaves less.
 MIN_HIGH_WATERMARK_MB: Final = 3.0
 MIN_CRITICAL_WATERMARK_MB: Final = 4.0
@@ -118,7 +118,11 @@
         self.peak_bytes = max(self.peak_bytes, self.resident_bytes)
         self._enter(self._watermarks.pressure(self.resident_bytes))
         headroom_bytes = self._watermarks.high_bytes - self.resident_bytes
-        self._budget.apply_headroom(headroom_bytes, self.pressure is not MemoryPressure.NORMAL)
+        self._budget.apply_headroom(
+            headroom_bytes,
+            is_pressed=self.pressure is not MemoryPressure.NORMAL,
+            is_critical=self.pressure is MemoryPressure.CRITICAL,
+        )
 
     def _enter(self, pressure: MemoryPressure) -> None:
         if pressure is self.pressure:
--- a/gateusher/upstream/pool.py
+++ b/gateusher/upstream/pool.py
@@ -229,7 +229,7 @@
 
     @property
     def _memory_allows_dial(self) -> bool:
-        """Whether the process is not close to its memory limit, has few connections, or can close one instead."""
+        """Whether the process is not at its memory limit, has few connections, or can close one instead."""
         return self.memory.allows_connection or len(self._connections) < MIN_PRESSED_CONNECTIONS or self._reclaim()
 
     def _start_dial(self, endpoint: EndpointConnections) -> Connection:
