--- a/gateusher/cli/run.py
+++ b/gateusher/cli/run.py
@@ -23,6 +23,7 @@
 from ..base.errors import RETRY_INTERVAL_S, retry_while_transient
 from ..base.limits import MIN_DESCRIPTORS
 from ..base.log import attach, log_event
+from ..base.resident_memory import ResidentMemory
 from ..config import platform
 from ..config.model import Config, ConfigError
 from ..daemon import Sidecar
@@ -81,16 +82,17 @@
 
 
 def _resident_mb() -> float:
-    """Return the resident set size of this process in MB (proc(5), statm), or 0 if the system does not report it.
+    """Return the resident set size of this process in MB, or 0 if the system does not report it.
 
     getrusage(2) reports the maximum instead, which includes the memory used before execve(2).
     """
+    memory = ResidentMemory()
     try:
-        with open("/proc/self/statm", encoding="ascii") as file:
-            resident_pages = int(file.read().split()[1])
-    except (OSError, ValueError, IndexError):
+        return memory.resident_bytes() / BYTES_PER_MB
+    except (OSError, ValueError):
         return 0.0
-    return resident_pages * resource.getpagesize() / BYTES_PER_MB
+    finally:
+        memory.close()
 
 
 def cap_to_system_limits(config: Config) -> Config:
