Rig: an endpoint is quiet after 5 s without a request, not after one

The cause: members that still use the drained endpoint weigh it by what they have learned, and now and then none of them picks it for a second; the check took the first such second for the end. No pause of the machine is part of it.

The check is stricter now: no request for 5 s, in which every member responded.

--- a/rig/invariants.py
+++ b/rig/invariants.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
+from itertools import takewhile
 from typing import Any, NamedTuple
 
 from .history import History
@@ -13,6 +14,7 @@
 HANG_TIMEOUT_S = 120.0  # long enough that only a hang reaches it
 DRAIN_GRACE_S = 2.05  # after the drain was announced (rule 3), with the 50 ms that the protocol allows on sockets
 HINT_MIN_LIFETIME_S = 25.0  # drain hints are repeated for 30 s and last 10 s: younger ones must still be valid
+QUIET_S = 5.0  # without a request to an endpoint: members that still use it may pick others for a second by chance
 LIST_DELAY_S = 1.0  # from the relay of an endpoint list to the sidecar and back; two hops of the rig's event loop
 KILL_FAULTS = ("kill", "disk-old", "disk-torn", "disk-flip", "disk-empty")
 MAX_EXCERPT_CHARACTERS = 400  # of a log, from its first fault on
@@ -38,6 +40,21 @@
     return scenario.drain_hints and (not faults_ended or faults_ended[0]["t"] - notified["t"] < HINT_MIN_LIFETIME_S)
 
 
+def endpoint_is_quiet(history: History, node: str, members: Collection[str], since: float) -> bool:
+    """Return whether no request reached the endpoint for the last `QUIET_S`, in which every member responded.
+
+    `since`: when the wait began, in seconds of the history; what came earlier does not count.
+    """
+    begins_at = max(since, history.now() - QUIET_S)
+    if history.now() - begins_at < QUIET_S:
+        return False
+    recent = list(takewhile(lambda event: event["t"] >= begins_at, reversed(history.events)))
+    if any(event["event"] == "arrived" and event["node"] == node for event in recent):
+        return False
+    responded = {event["who"] for event in recent if event["event"] == "answered"}
+    return responded >= set(members)
+
+
 def _members_that_may_lose(scenario: Scenario) -> set[str]:
     """Return the members whose callers may lose requests: killed, or disconnected from their callers."""
     found: set[str] = set()
--- a/rig/run.py
+++ b/rig/run.py
@@ -15,13 +15,12 @@
 
 from .fleet import SidecarFleet
 from .injection import FaultInjector
-from .invariants import Verdict, check, drain_hint_is_valid, view_is_complete
+from .invariants import Verdict, check, drain_hint_is_valid, endpoint_is_quiet, view_is_complete
 from .scenarios import Scenario
 
 CLASSES = {"look": ("GET", 1.0), "issue": ("POST", 1.0)}  # method, deadline in seconds
 VIEW_POLL_S = 0.1
 LOST_AFTER_S = 30.0  # after its deadline, a request without a response counts as lost
-QUIET_S = 1.0
 
 
 class ScenarioRun:
@@ -100,19 +99,13 @@
                 await self._wait_until_quiet(notified["node"], limit)
 
     async def _wait_until_quiet(self, node: str, limit: float) -> None:
-        """Wait for a second in which every member responded and no request reached this endpoint."""
+        """Wait until an endpoint has been idle for long enough, at most until `limit`."""
+        since = self.history.now()
         while self.history.now() < limit:
-            since = len(self.history.events)
-            started_at = self.history.now()
-            responded: set[str] = set()
-            while self.history.now() - started_at < QUIET_S or len(responded) < len(self.fleet.names):
-                await asyncio.sleep(0.1)
-                responded = {e["who"] for e in self.history.events[since:] if e["event"] == "answered"}
-                if self.history.now() > limit:
-                    return
-            if not any(e["event"] == "arrived" and e["node"] == node for e in self.history.events[since:]):
+            if endpoint_is_quiet(self.history, node, self.fleet.names, since):
                 self.history.record("quiet", node=node)
                 return
+            await asyncio.sleep(0.1)
 
     # -- the whole run
 
--- a/tests/rig/test_scenarios.py
+++ b/tests/rig/test_scenarios.py
@@ -12,7 +12,7 @@
 
 from rig import scenarios
 from rig.history import History
-from rig.invariants import Verdict, check
+from rig.invariants import QUIET_S, Verdict, check, endpoint_is_quiet
 from rig.run import run_scenario
 from rig.scenarios import Fault, Scenario, ScenarioError
 
@@ -149,6 +149,26 @@
     assert check(scenario, history, {}).broken == []
 
 
+@pytest.mark.parametrize(
+    ("last_arrival_ago_s", "responding", "since_ago_s", "quiet"),
+    [
+        (QUIET_S + 1.0, ["s1", "s2"], QUIET_S + 1.0, True),
+        (1.4, ["s1", "s2"], QUIET_S + 1.0, False),  # members that still use the endpoint may pick others for so long
+        (QUIET_S + 1.0, ["s1"], QUIET_S + 1.0, False),
+        (QUIET_S + 1.0, ["s1", "s2"], QUIET_S - 1.0, False),
+    ],
+)
+def test_an_endpoint_is_quiet_after_a_long_time_without_requests(
+    last_arrival_ago_s: float, responding: list[str], since_ago_s: float, quiet: bool
+) -> None:
+    history = record({"event": "arrived", "rid": "s1-9-look", "node": "n1"})
+    history.started_at -= 60.0
+    history.events[0]["t"] = history.now() - last_arrival_ago_s
+    for member in responding:
+        history.record("answered", rid=f"{member}-10-look", who=member, status=200, right=True)
+    assert endpoint_is_quiet(history, "n1", ["s1", "s2"], history.now() - since_ago_s) is quiet
+
+
 def test_check_reports_requests_after_a_drain() -> None:
     scenario = Scenario("x", faults=[Fault("drain", 0.0, node="n1", notified="s1")])
     history = record(
