Policy timers: the timer of a held request ends with the request

Now a request has one such timer at most and it is cancelled as the request finishes, so the timers are bounded by the open requests, which are counted.

--- a/checker/mutate.py
+++ b/checker/mutate.py
@@ -26,6 +26,7 @@
     "gateusher.core.requests": (),
     "gateusher.core.attempts": (),
     "gateusher.core.deadlines": (),
+    "gateusher.core.policy_timers": (),
     "gateusher.core.backlog": ("BACKLOG_MS",),
     "gateusher.core.states": (),
     "gateusher.upstream.connection": (),
--- a/gateusher/core/engine.py
+++ b/gateusher/core/engine.py
@@ -36,7 +36,6 @@
     SetTimer,
     Settings,
     SettingsChanged,
-    TimerFired,
     UploadCompleted,
     WatchEndpointList,
 )
@@ -46,12 +45,13 @@
 from .attempts import HealthCheckAttempt, RequestAttempt
 from .backlog import Backlog
 from .deadlines import RequestDeadlines
+from .policy_timers import PolicyTimers
 from .request_ids import RequestIds
 from .requests import ClientRequest, FinalOutcome, FinalResponse, RequestFault, find_fault, policy_event
 from .states import ANSWERED, CONCLUDE, DISCONNECT, DISCONNECTED, OPEN, RELEASE, SUBMIT
 
 if TYPE_CHECKING:  # not imported at run time, to keep the daemon's start short
-    from .ports import EndpointListSource, Timer, Timers, UpstreamConnections
+    from .ports import EndpointListSource, Timers, UpstreamConnections
 
 __all__ = ["ClientRequest", "Engine", "FinalOutcome", "FinalResponse", "RequestFault"]
 
@@ -92,7 +92,6 @@
         self._settings = settings
         self._methods = methods
         self._clock = clock
-        self._call_later = call_later
         self._max_requests = max_requests
         self._memory = memory
         self._deadlines = RequestDeadlines(call_later, self._on_overdue)
@@ -101,7 +100,7 @@
         self._is_handling_events = False
         self._next_request_number = 1
         self.ids = RequestIds()
-        self._policy_timers: set[Timer] = set()
+        self._policy_timers = PolicyTimers(call_later, self.deliver)
         self._perform = {
             Send: self._send,
             Reject: self._reject,
@@ -249,9 +248,7 @@
         for request in list(self.requests.values()):
             for attempt in list(request.attempts.values()):
                 self._abort(attempt)
-        for timer in self._policy_timers:
-            timer.cancel()
-        self._policy_timers.clear()
+        self._policy_timers.cancel_all()
 
     # -- called by attempts
 
@@ -332,6 +329,7 @@
     def _finish(self, request: ClientRequest, event: str) -> None:
         request.transition(event)
         self._deadlines.stop_timer(request)
+        self._policy_timers.cancel_hold(request.request_number)
 
     def _release_if_ended(self, request: ClientRequest) -> None:
         """Release the bytes and the id of a finished request without attempts in flight, and remove it."""
@@ -499,12 +497,12 @@
         self.upstream.start_attempt(HealthCheckAttempt(self, pulls_report, action.endpoint, now_ms, expires_ms))
 
     def _set_timer(self, action: SetTimer) -> None:
-        def fire() -> None:
-            self._policy_timers.discard(timer)
-            self.deliver(TimerFired(action.token))
-
-        timer = self._call_later(action.delay_ms / 1000, fire)
-        self._policy_timers.add(timer)
+        if action.held_request is None:
+            self._policy_timers.start(action)
+            return
+        request = self.requests.get(action.held_request)
+        if request and request.state == OPEN:
+            self._policy_timers.start_hold(request.request_number, action)
 
     def _watch_endpoint_list(self, action: WatchEndpointList) -> None:
         if action.enable:
--- a/gateusher/policy/balancer.py
+++ b/gateusher/policy/balancer.py
@@ -11,11 +11,12 @@
 from typing import Any
 
 from .admission import AdmissionControl
-from .context import ENDPOINT_LIST_TIMER, HINT_EXPIRY_TIMER, HOLD_TIMER_OFFSET, DecisionContext
+from .context import ENDPOINT_LIST_TIMER, HINT_EXPIRY_TIMER, DecisionContext
 from .control_set import ControlSet
 from .endpoint_list import EndpointList
 from .endpoint_selection import EndpointSelector
 from .interface import (
+    HOLD_TIMER_OFFSET,
     Action,
     AttemptEnded,
     ClientDisconnected,
--- a/gateusher/policy/context.py
+++ b/gateusher/policy/context.py
@@ -13,7 +13,6 @@
 ENDPOINT_LIST_TIMER = 0  # timer token: poll the endpoint list
 HINT_EXPIRY_TIMER = -1  # timer token: a gossip hint expires
 OBJECTIVE_DIVISOR = 4  # a time unit is the longest latency objective divided by this
-HOLD_TIMER_OFFSET = 1  # the timer token of a held request is its id plus this
 
 
 class DecisionContext:
--- a/gateusher/policy/interface.py
+++ b/gateusher/policy/interface.py
@@ -309,12 +309,23 @@
     attempt: int
 
 
+HOLD_TIMER_OFFSET = 1  # the timer token of a held request is its id plus this; other tokens are lower
+
+
 class SetTimer(NamedTuple):
-    """Request a `TimerFired` event with this token after `delay_ms`."""
+    """Request a `TimerFired` event with this token after `delay_ms`.
+
+    A held request has one timer, of no use once the request has ended.
+    """
 
     token: int
     delay_ms: float
 
+    @property
+    def held_request(self) -> int | None:
+        """The request that waits for this timer, if one does."""
+        return self.token - HOLD_TIMER_OFFSET if self.token >= HOLD_TIMER_OFFSET else None
+
 
 class HealthCheck(NamedTuple):
     """Send a health check to an endpoint, whose response may contain a load report."""
--- a/gateusher/policy/requests.py
+++ b/gateusher/policy/requests.py
@@ -6,12 +6,13 @@
 from __future__ import annotations
 
 from .admission import AdmissionControl
-from .context import HOLD_TIMER_OFFSET, DecisionContext
+from .context import DecisionContext
 from .control_set import ControlSet
 from .endpoint_list import EndpointList
 from .endpoint_selection import EndpointSelector
 from .feedback import OutcomeFeedback
 from .interface import (
+    HOLD_TIMER_OFFSET,
     NEVER_EXECUTED,
     AttemptEnded,
     ClientDisconnected,
