--- a/gateusher/base/limits.py
+++ b/gateusher/base/limits.py
@@ -5,6 +5,7 @@
 import threading
 from collections.abc import Callable
 from math import inf
+from typing import Final
 
 # Standard streams, poller, signals, listeners, handover and discovery use a dozen descriptors, admin connections 16;
 # the others cover descriptors that are being closed.
@@ -15,6 +16,7 @@
 CLIENT_SHARE = 0.6  # share of the non-spare descriptors for client connections; endpoints need the rest
 IDLE_CLIENT_DIVISOR = 8  # idle client connections may use 1/8 of the non-spare descriptors
 MIN_IDLE_CLIENTS = 4
+BYTES_PER_MB: Final = 1048576
 MEMORY_OVERCOMMIT_RATIO = 1.25  # of the limit, for responses of endpoints
 MIN_MESSAGE_BYTES = 1 << 20  # without which nothing can be served, whatever the process takes otherwise
 MIN_PRESSED_CONNECTIONS = 64  # which are allowed close to the memory limit too
--- a/gateusher/base/memory_monitor.py
+++ b/gateusher/base/memory_monitor.py
@@ -13,10 +13,9 @@
 from typing import Final, NamedTuple, Protocol
 
 from .diagnostics import Diagnostics
-from .limits import MemoryBudget
+from .limits import BYTES_PER_MB, MemoryBudget
 from .log import log_event
 
-BYTES_PER_MB: Final = 1048576
 HIGH_WATERMARK_SHARE: Final = 13 / 16  # of the limit
 CRITICAL_WATERMARK_SHARE: Final = 7 / 8
 # Above what a process takes before it serves, where the limit leaves less.
@@ -70,8 +69,8 @@
 class MemoryMonitor:
     """Measures the process's memory and acts on it.
 
-    `check` is called at regular intervals and whenever `budget` has grown by much; `shed` closes connections that
-    hold about as many bytes as it is told.
+    `check` is called at regular intervals, and `measure` also whenever `budget` has grown by much; `shed` closes
+    connections that hold about as many bytes as it is told.
     """
 
     def __init__(
--- a/gateusher/cli/run.py
+++ b/gateusher/cli/run.py
@@ -13,15 +13,15 @@
 import signal
 import socket
 import time
-from collections.abc import Mapping
-from contextlib import ExitStack
-from typing import Final
+from collections.abc import Callable, Mapping
+from contextlib import ExitStack, suppress
+from typing import Final, TypeVar
 
 import uvloop
 
 from ..base import signals
 from ..base.errors import RETRY_INTERVAL_S, retry_while_transient
-from ..base.limits import MIN_DESCRIPTORS
+from ..base.limits import BYTES_PER_MB, MIN_DESCRIPTORS
 from ..base.log import attach, log_event
 from ..base.resident_memory import ResidentMemory
 from ..config import platform
@@ -41,7 +41,8 @@
     20,
     50,
 )  # for gc.set_threshold: collect less often, since requests create few reference cycles
-BYTES_PER_MB: Final = 1048576
+
+ResultT = TypeVar("ResultT")
 
 
 def load_config(path: str | None, env: Mapping[str, str], current: Config | None = None) -> Config:
@@ -67,16 +68,25 @@
 
 def load_config_with_retry(path: str | None, env: Mapping[str, str]) -> Config:
     """Read the configuration at startup; transient errors are retried for START_RETRY_S.  Raises ConfigError."""
+    return _retry_at_start("configuration", lambda: load_config(path, env))
+
+
+def _retry_at_start(name: str, attempt: Callable[[], ResultT]) -> ResultT:
+    """Return the result of `attempt`; call it again after a transient error, for START_RETRY_S.  Raises its error.
+
+    Of ConfigErrors those are transient that say so; every OSError is.
+    """
     retry_until_s = time.monotonic() + START_RETRY_S
     is_logged = False
     while True:
         try:
-            return load_config(path, env)
-        except ConfigError as error:
-            if not error.passing or time.monotonic() > retry_until_s:
+            return attempt()
+        except (ConfigError, OSError) as error:
+            is_transient = error.passing if isinstance(error, ConfigError) else True
+            if not is_transient or time.monotonic() > retry_until_s:
                 raise
             if not is_logged:
-                log_event("configuration", f"{error}: again soon")
+                log_event(name, f"{error}: again soon")
                 is_logged = True
         time.sleep(RETRY_INTERVAL_S)
 
@@ -163,17 +173,8 @@
 
     A loop that could not is unusable, and can't be closed either.
     """
-    retry_until_s = time.monotonic() + START_RETRY_S
-    is_logged = False
-    while time.monotonic() < retry_until_s:
-        try:
-            _open_loop_descriptors()
-            return
-        except OSError as error:
-            if not is_logged:
-                log_event("event loop", f"{error}: again soon")
-                is_logged = True
-        time.sleep(RETRY_INTERVAL_S)
+    with suppress(OSError):  # the event loop reports it
+        _retry_at_start("event loop", _open_loop_descriptors)
 
 
 def _open_loop_descriptors() -> None:
--- a/gateusher/node.py
+++ b/gateusher/node.py
@@ -15,7 +15,7 @@
 
 from .base.clock import Clock
 from .base.diagnostics import Diagnostics
-from .base.limits import DescriptorBudget, MemoryBudget, SharedBudget
+from .base.limits import BYTES_PER_MB, DescriptorBudget, MemoryBudget, SharedBudget
 from .base.log import log_event
 from .config.classes import RequestClass, RequestClassTable
 from .config.model import Config
@@ -34,7 +34,6 @@
 STALL_THRESHOLD_S = 1.0  # a sweep later than this shows that the machine was paused
 BODY_MEMORY_DIVISOR = 3  # this fraction of the memory limit may hold bodies and responses
 PROCESS_GROWTH_MB = 4.0  # what a process comes to take beside messages and connections: loop, lists, ids, diagnostics
-BYTES_PER_MB = 1048576
 
 UpdateHandler = Callable[[EndpointListUpdate], None]
 EntriesHandler = Callable[[list[ListedEndpoint], bool], None]
--- a/tests/base/test_memory_monitor.py
+++ b/tests/base/test_memory_monitor.py
@@ -4,13 +4,14 @@
 
 from gateusher.base.diagnostics import Diagnostics
 from gateusher.base.limits import (
+    BYTES_PER_MB,
     CONNECTION_BYTES,
     MEASURED_GROWTH_BYTES,
     MIN_MESSAGE_BYTES,
     MIN_PRESSED_CONNECTIONS,
     MemoryBudget,
 )
-from gateusher.base.memory_monitor import BYTES_PER_MB, MemoryMonitor, MemoryPressure, Watermarks
+from gateusher.base.memory_monitor import MemoryMonitor, MemoryPressure, Watermarks
 from gateusher.base.resident_memory import ResidentMemory
 
 LIMIT_MB = 32.0
--- a/tests/test_bulk_uploads.py
+++ b/tests/test_bulk_uploads.py
@@ -184,7 +184,8 @@
             sending = asyncio.create_task(send_parts(writer, upload_parts(bytes(16 << 20), False)))
             head, _, is_complete = await asyncio.wait_for(read_response(reader), HANG_TIMEOUT_S)
             assert status(head) == 503 and is_complete and b"Retry-After" in head
-            assert not [body for endpoint in endpoints for body in endpoint.complete_bodies]
+            heads = [endpoint.heads for endpoint in endpoints]
+            assert not [body for endpoint in endpoints for body in endpoint.complete_bodies], heads
             sending.cancel()
             writer.close()
             await wait_until_finished(r)
