Responses: a head that arrives in parts is bounded by the memory, not only counted

A part of a head over 2 KB, or a head over 8 KB, needs memory within the limit, and is refused while the resident memory is critical; the attempt ends as for a response that can't be buffered.

--- a/gateusher/base/limits.py
+++ b/gateusher/base/limits.py
@@ -117,6 +117,11 @@
         """Whether there may be one more connection: at the memory limit no more than there were as it was reached."""
         return self.connection_count < self._connection_limit
 
+    @property
+    def is_critical(self) -> bool:
+        """Whether the process is about to reach its memory limit, as it was measured last."""
+        return self._connection_limit < inf
+
     @property
     def is_scarce(self) -> bool:
         """Whether memory should be left to requests that need it only briefly."""
@@ -163,6 +168,15 @@
             self._budget.release(self.size - size)
         self.size = size
 
+    def set_for_response(self, size: int) -> bool:
+        """Count this many bytes of a response in place of those before; return False if they exceed the limit."""
+        if size > self.size and (self._budget.is_critical or not self._budget.acquire_for_response(size - self.size)):
+            return False
+        if size < self.size:
+            self._budget.release(self.size - size)
+        self.size = size
+        return True
+
 
 class DescriptorBudget:
     """Limits the sockets in use.  At the limit an idle connection is closed in favor of a new one.
--- a/gateusher/upstream/response_parser.py
+++ b/gateusher/upstream/response_parser.py
@@ -43,6 +43,9 @@
 MAX_STREAMED_BODY_BYTES: Final = 64 << 20
 MAX_HEAD_BYTES: Final = 65536
 MAX_HEAD_FIELDS: Final = 256
+# In memory; no response is refused for lack of so little.
+MAX_ORDINARY_HEAD_BYTES: Final = 8192
+MAX_PARTIAL_HEAD_BYTES: Final = 2048  # most heads arrive whole
 
 HTTP_VERSION_PREFIX: Final = b"HTTP/1."
 CHUNKED_END: Final = b"\r\n\r\n"  # the end of the last chunk's line or of a trailer field, and an empty line
@@ -174,8 +177,8 @@
             self._on_invalid_data()
         if connection.state in (AWAITING_RESPONSE, READING_HEAD):
             self.head_bytes += len(data)
-        if connection.state in (READING_HEAD, READING_BODY):
-            self._head_memory.set(self.head_bytes + FIELD_OBJECT_BYTES * self._field_count)
+        if connection.state in (READING_HEAD, READING_BODY) and not self._reserve_head():
+            connection.transition(INVALIDATE)
         if self.is_chunked:
             self._check_chunked_end(bytes(data[-CHUNKED_END_BYTES:]))
             self._count_framing(len(data) if body_bytes == self._received_body_bytes else 0)
@@ -185,6 +188,15 @@
     def flush(self) -> None:
         """Do nothing: all that was parsed is reported."""
 
+    def _reserve_head(self) -> bool:
+        """Reserve memory for the head as far as it has arrived; return False if a long one exceeds the limit."""
+        held_bytes = self.head_bytes + FIELD_OBJECT_BYTES * self._field_count
+        is_partial = self._connection.state == READING_HEAD
+        if held_bytes > (MAX_PARTIAL_HEAD_BYTES if is_partial else MAX_ORDINARY_HEAD_BYTES):
+            return self._head_memory.set_for_response(held_bytes)
+        self._head_memory.set(held_bytes)
+        return True
+
     def _count_framing(self, size: int) -> None:
         """Bound chunk extensions and trailer fields, as heads are."""
         self._framing_bytes = self._framing_bytes + size if size else 0
--- a/tests/standing/endpoints.py
+++ b/tests/standing/endpoints.py
@@ -15,14 +15,18 @@
 from ..net import read_message
 
 LONG_ANSWER_BYTES = 8 << 20
+ENDLESS_HEAD_BYTES = 64 << 20
 PARENT_CHECK_INTERVAL_S = 0.5
 
 
 async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    """Answer as an endpoint: with a long body where the id asks for it."""
+    """Answer as an endpoint: with a long body or a head that does not end where the id asks for it."""
     try:
         while True:
             head, _ = await read_message(reader)
+            if b"X-Request-Id: endless" in head:
+                await _write_endless_head(writer)
+                return
             if b"X-Request-Id: long" not in head:
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
                 continue
@@ -34,6 +38,14 @@
         writer.close()
 
 
+async def _write_endless_head(writer: asyncio.StreamWriter) -> None:
+    writer.write(b"HTTP/1.1 200 OK\r\nX-Long: ")
+    for _ in range(ENDLESS_HEAD_BYTES >> 16):
+        writer.write(b"x" * (1 << 16))
+        await writer.drain()
+    writer.close()
+
+
 async def _serve_all(count: int) -> None:
     parent_pid = os.getppid()
     servers = [await asyncio.start_server(serve, "127.0.0.1", 0) for _ in range(count)]
--- a/tests/standing/test_crowds.py
+++ b/tests/standing/test_crowds.py
@@ -1,17 +1,21 @@
 """Crowds that send in costly forms and come again when closed: memory, restarts and reloads."""
 
 import asyncio
+import itertools
 import signal
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
 
-from ..net import run
+from ..net import idempotent_request, read_message, run
 from .crowded_daemon import run_crowd, run_with_usual_clients
 from .process import wait_until_serving
 
 CROWD_S = 4.0
 FULL_CROWD = 900  # more than there are descriptors for clients
+MANY_CLIENTS = 500
+REOPEN_DELAY_S = 0.05
 LEAST_MEMORY_MB = 32  # that the pages name
 SIGHUP_INTERVAL_S = 0.5
 
@@ -41,6 +45,26 @@
     run(test())
 
 
+def test_heads_of_endpoints_that_do_not_end_keep_the_process_within_its_memory(tmp_path: Path) -> None:
+    async def ask_again(address: tuple[str, int], client: int) -> None:
+        for attempt in itertools.count():
+            with suppress(OSError, RuntimeError, asyncio.IncompleteReadError):  # uvloop: a closed transport
+                reader, writer = await asyncio.open_connection(*address)
+                writer.write(idempotent_request(f"endless-{client}-{attempt}"))
+                await read_message(reader)
+                writer.close()
+            await asyncio.sleep(REOPEN_DELAY_S)
+
+    async def test() -> None:
+        async with run_with_usual_clients(tmp_path, LEAST_MEMORY_MB, expects_answers=False) as (daemon, _):
+            clients = [asyncio.ensure_future(ask_again(daemon.address, i)) for i in range(MANY_CLIENTS)]
+            await asyncio.sleep(CROWD_S)
+            for task in clients:
+                task.cancel()
+
+    run(test())
+
+
 def test_a_process_that_starts_beside_a_crowd_stays_within_its_memory(tmp_path: Path) -> None:
     async def test() -> None:
         async with (
