Long fields that do not end: trailers are counted, rejected clients hold nothing

Three places held what no account knew: httptools keeps an incomplete trailer field, of a client or an endpoint, and the incomplete head of a client that has been rejected already and lingers. Now long framing is counted as a head is, on both sides, and the parser of a rejected client is replaced by an empty one.

The crowd and the soak know both new kinds of client.

--- a/gateusher/listeners/client_connection.py
+++ b/gateusher/listeners/client_connection.py
@@ -191,12 +191,12 @@
                 self._receive_timer.input_received(self._owner.loop.time())
 
     def _count_head(self) -> None:
-        """Count the memory of a head that is not complete.
+        """Count the memory of a head, or of a long trailer section, that is not complete.
 
         Raises UnusableRequestError if there is none left for it, or for input that waits.
         """
         memory = self._owner.memory
-        self._head_memory.set(self._parser.held_bytes if self._parser.in_head else 0)
+        self._head_memory.set(self._parser.unfinished_bytes)
         if (self._head_memory.size or self._turns.is_waiting) and memory.in_use > memory.limit:
             raise UnusableRequestError(503)
 
--- a/gateusher/listeners/request_parser.py
+++ b/gateusher/listeners/request_parser.py
@@ -15,6 +15,7 @@
 
 MAX_HEAD_BYTES = 32768
 MAX_HEAD_FIELDS = 128
+MAX_ORDINARY_FRAMING_BYTES = 2048  # of a body, between two of its parts
 MAX_REQUEST_BODY_BYTES = 33 << 20
 FIELD_OVERHEAD_BYTES = len(b": \r\n")
 LINE_END = b"\r\n"
@@ -109,6 +110,13 @@
         self.head_bytes = 0
         self._field_count = 0
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """The memory that an incomplete head takes, or a long part of the body's framing."""
+        if self.in_head:
+            return self.held_bytes
+        return self._framing_bytes if self._framing_bytes > MAX_ORDINARY_FRAMING_BYTES else 0
+
     @property
     def held_bytes(self) -> int:
         """The memory that the current head takes."""
@@ -196,7 +204,12 @@
         self._unreported_bytes = 0
 
     def abandon_request(self) -> None:
-        """Give up the current request: neither its rest nor what follows it in the same input is reported."""
+        """Give up the current request: neither its rest nor what follows it in the same input is reported.
+
+        The connection may stay open for long, so what httptools holds of an incomplete field is freed too.
+        """
+        self._parser = httptools.HttpRequestParser(self)
+        self._framing_bytes = self._unfinished_head_bytes = 0
         self.in_head = False
         self.in_request = False
         self._reset_head()
--- a/gateusher/upstream/response_parser.py
+++ b/gateusher/upstream/response_parser.py
@@ -177,11 +177,11 @@
             self._on_invalid_data()
         if connection.state in (AWAITING_RESPONSE, READING_HEAD):
             self.head_bytes += len(data)
-        if connection.state in (READING_HEAD, READING_BODY) and not self._reserve_head():
-            connection.transition(INVALIDATE)
         if self.is_chunked:
             self._check_chunked_end(bytes(data[-CHUNKED_END_BYTES:]))
             self._count_framing(len(data) if body_bytes == self._received_body_bytes else 0)
+        if connection.state in (READING_HEAD, READING_BODY, STREAMING) and not self._reserve_head():
+            connection.transition(INVALIDATE)
         if self._duplicate:
             self._judge_duplicate(self._duplicate)
 
@@ -189,9 +189,15 @@
         """Do nothing: all that was parsed is reported."""
 
     def _reserve_head(self) -> bool:
-        """Reserve memory for the head as far as it has arrived; return False if a long one exceeds the limit."""
-        held_bytes = self.head_bytes + FIELD_OBJECT_BYTES * self._field_count
-        is_partial = self._connection.state == READING_HEAD
+        """Reserve memory for the head and for a part of the body's framing, such as an incomplete trailer field.
+
+        Returns False if they are long and exceed the limit.
+        """
+        state = self._connection.state
+        held_bytes = self._framing_bytes
+        if state != STREAMING:  # then the head has been delivered
+            held_bytes += self.head_bytes + FIELD_OBJECT_BYTES * self._field_count
+        is_partial = state == READING_HEAD or self._framing_bytes > MAX_PARTIAL_HEAD_BYTES
         if held_bytes > (MAX_PARTIAL_HEAD_BYTES if is_partial else MAX_ORDINARY_HEAD_BYTES):
             return self._head_memory.set_for_response(held_bytes)
         self._head_memory.set(held_bytes)
--- a/rig/slow_clients.py
+++ b/rig/slow_clients.py
@@ -20,6 +20,7 @@
 
 BODY_BYTES: Final = 4 << 20  # announced; a half of it is sent
 HEAD_FIELDS: Final = 3000
+LONG_VALUE_BYTES: Final = 30_000
 CHUNKS_PER_WRITE: Final = 300
 WRITE_INTERVAL_S: Final = 0.01
 REOPEN_DELAY_S: Final = 0.05
@@ -105,6 +106,18 @@
         yield Part(lines[at : at + size], random.uniform(0.0, 0.2))
 
 
+def long_field_value(request: Request, random: Random) -> Iterator[Part]:
+    """A head with one long field, which doesn't end."""
+    del random
+    yield Part(request.head("POST", "X-Long: ") + b"x" * LONG_VALUE_BYTES, 0.0)
+
+
+def long_trailer_value(request: Request, random: Random) -> Iterator[Part]:
+    """A short body in one chunk, and one long trailer field, which doesn't end."""
+    del random
+    yield Part(request.chunked_head() + b"1\r\nx\r\n0\r\nX-Long: " + b"x" * LONG_VALUE_BYTES, 0.0)
+
+
 def long_answer(request: Request, random: Random) -> Iterator[Part]:
     """A request for a long response, which its endpoint knows by the id; it is read slowly."""
     del random
@@ -142,6 +155,8 @@
         mixed_chunks,
         chunks_with_extensions,
         many_fields,
+        long_field_value,
+        long_trailer_value,
         long_answer,
         whole_long_body,
         many_requests,
@@ -156,6 +171,8 @@
     mixed_chunks,
     chunks_with_extensions,
     many_fields,
+    long_field_value,
+    long_trailer_value,
     silent,
 )
 
--- a/tests/standing/endpoints.py
+++ b/tests/standing/endpoints.py
@@ -16,17 +16,23 @@
 
 LONG_ANSWER_BYTES = 8 << 20
 ENDLESS_HEAD_BYTES = 64 << 20
+LONG_TRAILER_BYTES = 60_000
 PARENT_CHECK_INTERVAL_S = 0.5
 
 
 async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    """Answer as an endpoint: with a long body or a head that does not end where the id asks for it."""
+    """Answer as an endpoint: with a long body, or fields that do not end, where the id asks for it."""
     try:
         while True:
             head, _ = await read_message(reader)
-            if b"X-Request-Id: endless" in head:
+            if b"X-Request-Id: endless-head" in head:
                 await _write_endless_head(writer)
                 return
+            if b"X-Request-Id: long-trailer" in head:
+                writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n")
+                writer.write(b"X-Long: " + b"x" * LONG_TRAILER_BYTES)
+                await reader.read()
+                return
             if b"X-Request-Id: long" not in head:
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
                 continue
--- a/tests/standing/test_crowds.py
+++ b/tests/standing/test_crowds.py
@@ -29,6 +29,8 @@
         "chunks_with_extensions",
         "many_requests",
         "half_of_a_length",
+        "long_field_value",
+        "long_trailer_value",
         "every_kind",
     ],
 )
@@ -45,12 +47,13 @@
     run(test())
 
 
-def test_heads_of_endpoints_that_do_not_end_keep_the_process_within_its_memory(tmp_path: Path) -> None:
+@pytest.mark.parametrize("part", ["endless-head", "long-trailer"])
+def test_fields_of_endpoints_that_do_not_end_keep_the_process_within_its_memory(tmp_path: Path, part: str) -> None:
     async def ask_again(address: tuple[str, int], client: int) -> None:
         for attempt in itertools.count():
             with suppress(OSError, RuntimeError, asyncio.IncompleteReadError):  # uvloop: a closed transport
                 reader, writer = await asyncio.open_connection(*address)
-                writer.write(idempotent_request(f"endless-{client}-{attempt}"))
+                writer.write(idempotent_request(f"{part}-{client}-{attempt}"))
                 await read_message(reader)
                 writer.close()
             await asyncio.sleep(REOPEN_DELAY_S)
