Reloads: the strictest settings that a request may mean bind its retries

Cause: classification tried the current class first and the former one only if the method or the key did not fit it.

Change: `ClassHistory` answers what a request may mean: every configuration of the time since it was sent that its method and key fit. The strictest effect, group, window and attempt limit of these bind it, as `RetryRules` of the request, which the policy and the engine now go by in place of the class's settings. A class or a method that only the current configuration has is bound by that alone. The time counts from the first byte of the head, no longer from its end.

`RequestClassTable.former` is gone; in its place the test of the table asks for what it was for: every class of the configuration before is understood, a dropped one at its slot, and with retries no wider than its own. test_request_record expects the record's new last field, and the injected fault `ignore_stricter_effect` patches the method's new parameter.

--- a/checker/list_events.py
+++ b/checker/list_events.py
@@ -69,7 +69,7 @@
             self._apply_settings(replace(self.config.settings, classes=classes))
         for request in self.history.requests.values():
             request.at_most_once = request.at_most_once or self.core_request(request) is not None
-        self.sidecar.server.previous_classes = {}  # the grace period of earlier classes is not explored here
+        self.node.class_history.forget()  # the grace period of earlier classes is not explored here
 
     def _enter_lameduck(self) -> None:
         self.lameduck_count += 1
--- a/gateusher/config/classes.py
+++ b/gateusher/config/classes.py
@@ -11,7 +11,8 @@
 from collections.abc import Collection, Sequence
 from typing import NamedTuple
 
-from ..policy.interface import ClassSettings, DeduplicationScope, Effect
+from ..policy.interface import ClassSettings, Effect
+from .retry_rules import is_stricter
 
 
 class RequestClass(NamedTuple):
@@ -21,6 +22,10 @@
     settings: ClassSettings
     methods: frozenset[bytes]
 
+    def fits(self, method: bytes, has_key: bool) -> bool:
+        """Return whether the class allows a request with this method, with or without an idempotency key."""
+        return method in self.methods and has_key is (self.settings.effect is Effect.KEYED)
+
 
 class ClassTableChange(NamedTuple):
     """The changes that a new configuration makes to the table."""
@@ -31,35 +36,21 @@
     never_repeat: frozenset[int]  # slots whose requests must not be retried any more
 
 
-EFFECT_STRICTNESS = {Effect.IDEMPOTENT: 0, Effect.KEYED: 1, Effect.NOT_IDEMPOTENT: 2}
-SCOPE_STRICTNESS = {DeduplicationScope.ALL: 0, DeduplicationScope.ZONE: 1, DeduplicationScope.CELL: 2}
-
-
-def is_stricter(new: ClassSettings, old: ClassSettings) -> bool:
-    """Return whether a retry that `old` allows may do harm under `new`."""
-    if new.effect is Effect.KEYED and old.effect is Effect.KEYED:
-        return SCOPE_STRICTNESS[new.scope] > SCOPE_STRICTNESS[old.scope] or new.window_ms < old.window_ms
-    return EFFECT_STRICTNESS[new.effect] > EFFECT_STRICTNESS[old.effect]
-
-
 class RequestClassTable:
     """The request classes by slot, and the slot of each class name."""
 
     def __init__(self, classes: Sequence[RequestClass]) -> None:
         self.classes: list[RequestClass] = list(classes)
         self.current: dict[bytes, int] = {request_class.name: i for i, request_class in enumerate(classes)}
-        self.former: dict[bytes, int] = {}  # slots of the previous configuration, where they differ
         self._never_repeat: set[int] = set()  # slots whose class a later configuration made stricter
 
     def change(self, classes: Sequence[RequestClass], slots_in_use: Collection[int]) -> ClassTableChange:
-        """Apply the classes of a new configuration.  `slots_in_use` are the slots of open requests.
+        """Apply the classes of a new configuration.
 
-        The previous slot of each name is kept in `former`: a request whose client sent it before it could know of the
-        change uses the method of the old class and belongs to that class.
+        `slots_in_use` are the slots of open requests, and of classes that requests may still mean.
         """
         before = self.current
         replaced = self._assign_slots(classes, {*before.values(), *slots_in_use})
-        self.former = {name: slot for name, slot in before.items() if self.current.get(name) != slot}
         self._forbid_retries(classes, {*before.values(), *slots_in_use} - set(self.current.values()))
         return ClassTableChange(
             tuple(self.classes), tuple(replaced), tuple(self.current.values()), frozenset(self._never_repeat)
--- a/gateusher/core/engine.py
+++ b/gateusher/core/engine.py
@@ -32,6 +32,7 @@
     Outcome,
     Reject,
     ResponseStalled,
+    RetryRules,
     Send,
     SetTimer,
     Settings,
@@ -160,16 +161,17 @@
         A request with a fault is not accepted: the caller keeps it, and none of its callbacks is called.  `reserved`
         says that its id is already reserved.
         """
-        class_index = request.class_index
-        effect = self._settings.classes[class_index].effect
-        fault = find_fault(request, timeout_ms, effect is Effect.KEYED, self._methods[class_index])
+        class_settings = self._settings.classes[request.class_index]
+        fault = find_fault(request, timeout_ms, class_settings, self._methods[request.class_index])
+        rules = request.former_rules or RetryRules.of_class(class_settings, self._settings.max_attempts)
         if fault is None and not reserved and self.ids.is_in_flight(request.request_id):
             fault = RequestFault.CONFLICT
-        if fault is None and effect is not Effect.IDEMPOTENT and self.ids.has_executed(request.request_id):
+        if fault is None and rules.effect is not Effect.IDEMPOTENT and self.ids.has_executed(request.request_id):
             self.diagnostics.note("not accepted", "its id has run", request.request_id)
             fault = RequestFault.CONFLICT
         if fault is not None:
             return fault
+        request.rules = rules
         now_ms = self._clock.now_ms()
         self._register(request, timeout_ms, now_ms)
         if len(self.requests) > self._max_requests or request.deadline_ms <= now_ms:
@@ -190,7 +192,6 @@
         else:
             request.timeout_ms = timeout_ms
             self._deadlines.set(request, inf)
-        request.max_attempts = self._settings.max_attempts
         self.requests[request.request_number] = request
         self.ids.take(request.request_id, self._is_idempotent(request))
 
@@ -274,9 +275,8 @@
         if request.state != OPEN or is_progressing:
             return request.deadline_ms
         self.deliver(ResponseStalled(request.request_number, attempt.number))
-        effect = self._settings.classes[request.class_index].effect
         is_alone = len(request.attempts) == 1
-        return await_response_until_ms(effect, is_alone, request.deadline_ms, request.timeout_ms)
+        return await_response_until_ms(request.rules.effect, is_alone, request.deadline_ms, request.timeout_ms)
 
     def attempt_ended(
         self,
@@ -314,8 +314,7 @@
         settings' tick.
         """
         if request.has_idempotency_key and request.write_by_ms == inf:
-            window_ms = self._settings.classes[request.class_index].window_ms
-            request.write_by_ms = attempt.sent_ms + window_ms - self._settings.tick_ms
+            request.write_by_ms = attempt.sent_ms + request.rules.window_ms - self._settings.tick_ms
 
     def _serve(self, request: ClientRequest, response: EndpointResponse) -> None:
         if request.state == OPEN:
@@ -347,7 +346,7 @@
         request.client.on_released(request)
 
     def _is_idempotent(self, request: ClientRequest) -> bool:
-        return self._settings.classes[request.class_index].effect is Effect.IDEMPOTENT
+        return request.rules.effect is Effect.IDEMPOTENT
 
     def _conclude(self, request: ClientRequest, final: FinalResponse) -> None:
         """Deliver a final response that does not come from an endpoint."""
@@ -415,10 +414,10 @@
         upload = request.upload
         facts = RequestFacts(
             request.state == OPEN,
-            self._settings.classes[request.class_index].effect,
+            request.rules.effect,
             request.may_have_run,
             number,
-            min(request.max_attempts, self._settings.max_attempts),
+            min(request.rules.max_attempts, self._settings.max_attempts),
             left_ms,
             MIN_ATTEMPT_MS,
             upload is not None and upload.is_discarded,
@@ -462,8 +461,8 @@
         request = self.requests.get(action.request)
         if request is None or request.state != OPEN:
             return
-        settings = self._settings.classes[request.class_index]
-        if not may_reject(settings.effect, request.may_have_run, settings.scope is DeduplicationScope.ALL):
+        rules = request.rules
+        if not may_reject(rules.effect, request.may_have_run, rules.scope is DeduplicationScope.ALL):
             self.diagnostics.record_violation(Invariant.NO_REFUSAL_OF_WHAT_MAY_HAVE_RUN, request.request_id)
             self._conclude(request, FinalResponse(FinalOutcome.FAILED, None, 0.0, True))
             return
--- a/gateusher/core/requests.py
+++ b/gateusher/core/requests.py
@@ -9,7 +9,7 @@
 from math import inf
 from typing import TYPE_CHECKING, Final, NamedTuple, Protocol
 
-from ..policy.interface import Outcome, Request
+from ..policy.interface import NO_RETRY, ClassSettings, Effect, Outcome, Request, RetryRules
 from ..upstream.interface import Attempt, EndpointResponse, Headers, OutgoingRequest
 from .states import OPEN, PREPARING, REQUEST
 
@@ -78,12 +78,13 @@
         "affinity_key",
         "has_idempotency_key",
         "last_outcome",
-        "max_attempts",
         "request_id",
         "timeout_ms",
         "attempt_may_have_run",
         "is_retry",
         "request_number",
+        "former_rules",
+        "rules",
         "served",
         "state",
         "tenant",
@@ -114,14 +115,15 @@
         self.cost_hint_ms = 0.0
         self.has_idempotency_key = False
         self.is_retry = False
+        self.former_rules: RetryRules | None = None  # if it may mean, and fits, classes from before a reload
         self.unread_ms = 0.0  # how long it was queued unread: its timeout includes this time
         # Set by the engine:
         self.state: str = PREPARING
         self.request_number = 0  # the engine's id of the request
+        self.rules = NO_RETRY
         self.timeout_ms = 0.0
         self.deadline_ms = 0.0
         self.attempts_made = 0
-        self.max_attempts = 0
         self.attempts: dict[int, Attempt] = {}  # in flight, by number
         self.attempt_may_have_run = False  # an attempt that may have run has ended
         self.served = False  # an attempt succeeded, whether or not the client received the response
@@ -145,25 +147,35 @@
 
 
 def find_fault(
-    request: ClientRequest, timeout_ms: float, is_keyed: bool, methods: frozenset[bytes]
+    request: ClientRequest, timeout_ms: float, class_settings: ClassSettings, methods: frozenset[bytes]
 ) -> RequestFault | None:
     """Return what is wrong with a request of a class that allows these methods, or None if it is valid.
 
-    A method implies whether a retry is harmless.  If it contradicts the class, neither can be trusted.
+    One with rules from before a reload fits the configurations that it has them from.
     """
     if not timeout_ms > 0:  # also true for NaN
         return RequestFault.DEADLINE
     if not request.request_id:
         return RequestFault.ID
-    if request.method not in methods:
-        return RequestFault.METHOD
-    if request.has_idempotency_key is not is_keyed:
-        return RequestFault.KEY
+    if request.former_rules is None:
+        mismatch = _find_mismatch(request, class_settings.effect is Effect.KEYED, methods)
+        if mismatch is not None:
+            return mismatch
     if (request.body or request.upload) and request.method == b"GET":
         return RequestFault.BODY
     return None
 
 
+def _find_mismatch(request: ClientRequest, is_keyed: bool, methods: frozenset[bytes]) -> RequestFault | None:
+    """Return how the request contradicts its class, or None if it doesn't.
+
+    A method implies whether a retry is harmless.  If it contradicts the class, neither can be trusted.
+    """
+    if request.method not in methods:
+        return RequestFault.METHOD
+    return RequestFault.KEY if request.has_idempotency_key is not is_keyed else None
+
+
 def policy_event(request: ClientRequest, now_ms: float) -> Request:
     """Return the event that announces an accepted request to the policy."""
     return Request(
@@ -175,4 +187,5 @@
         request.cost_hint_ms,
         request.is_retry,
         upload_timeout_ms=UPLOAD_TIMEOUT_MS if request.upload else 0.0,
+        rules=request.rules,
     )
--- a/gateusher/daemon.py
+++ b/gateusher/daemon.py
@@ -127,6 +127,7 @@
             return Server(
                 address,
                 self.config.names,
+                self.node.class_history,
                 self.engine,
                 self.node.memory,
                 self.node.descriptors,
@@ -304,7 +305,6 @@
         """Apply a new configuration on SIGHUP, as far as that is possible without a restart."""
         self.config = config
         self.node.apply_config(config)
-        self.server.apply_class_names(self.node.names, self.node.classes.former)
         if self.members and config.membership:
             self.members.reload(config.membership)
         elif self.members or config.membership:
--- a/gateusher/listeners/classification.py
+++ b/gateusher/listeners/classification.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from ..base import proof
+from ..config.class_history import ClassHistory
 from ..config.model import Names, query_affinity_key
 from ..core.engine import Engine, FinalOutcome, FinalResponse, RequestFault
 from ..upstream.interface import EndpointResponse
@@ -25,7 +26,6 @@
 PLAIN_DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,12})?")
 
 STATUS_BY_FAULT = {fault: 400 for fault in RequestFault} | {RequestFault.METHOD: 405, RequestFault.CONFLICT: 409}
-CLASS_MISMATCH_FAULTS = (RequestFault.METHOD, RequestFault.KEY)
 
 Fields = dict[bytes, bytes]  # header fields by lower-case name
 
@@ -36,7 +36,7 @@
     engine: Engine
     lifecycle: Lifecycle
     names: Names
-    previous_classes: dict[bytes, int]  # class indexes by name as they were before the latest reload
+    class_history: ClassHistory
     authority: bytes  # the Host field for requests without one
     is_rehearsal: bool  # all endpoints are stand-ins
 
@@ -90,25 +90,11 @@
 
 
 def _submit_by_class(request: HttpRequest, class_name: bytes, deadline_ms: float, listener: RequestListener) -> int:
-    """Submit with the class that the name has now or, just after a reload, with the one that it had before.
-
-    A client that sent before it could know of new settings means the previous class: then the method or the
-    idempotency key does not fit the current one.
-    """
-    status = 400
-    class_index = listener.names.classes.get(class_name)
-    if class_index is not None:
-        request.class_index = class_index
-        fault = listener.engine.submit(request, deadline_ms)
-        if fault is None:
-            return ACCEPTED
-        status = STATUS_BY_FAULT[fault]
-        if fault not in CLASS_MISMATCH_FAULTS:
-            return status
-    previous_index = listener.previous_classes.get(class_name)
-    if previous_index is None:
-        return status
-    request.class_index = previous_index
+    """Submit with the class that the name has now or, just after a reload, with those that its client may mean."""
+    meaning = listener.class_history.meaning(class_name, request.method, request.has_idempotency_key, request.sent_s)
+    if meaning is None:
+        return 400
+    request.class_index, request.former_rules = meaning
     fault = listener.engine.submit(request, deadline_ms)
     return ACCEPTED if fault is None else STATUS_BY_FAULT[fault]
 
--- a/gateusher/listeners/client_connection.py
+++ b/gateusher/listeners/client_connection.py
@@ -92,6 +92,7 @@
         self._discards_input = False  # the last response is being sent
         self._closing = False
         self._has_begun_request = False
+        self._request_sent_s = now_s  # when the latest request was sent, at the earliest
         self._unread_input = UnreadInput(owner.accept_queue_empty_at_s, owner.accept_is_late)
         self.last_active_s = now_s  # when it was accepted, or last written to
         self._receive_timer = ReceiveTimer(now_s)
@@ -400,6 +401,7 @@
         if self._has_begun_request:
             self._receive_timer.restart(self._owner.loop.time())
         self._has_begun_request = True
+        self._request_sent_s = self._owner.loop.time()
 
     def on_request_line(self) -> None:
         """What has begun is a request.  Raises UnusableRequestError, which also bounds the work of a single read."""
@@ -501,6 +503,7 @@
             body,
             parser.keep_alive,
             parser.is_http_1_0,
+            self._request_sent_s,
         )
         request.head_memory.set(parser.held_bytes + REQUEST_BYTES)
         return request
--- a/gateusher/listeners/http_request.py
+++ b/gateusher/listeners/http_request.py
@@ -35,6 +35,7 @@
         "body_stream",
         "upload",
         "head_memory",
+        "sent_s",
     )
     accepts_streaming = True
     client: RequestConnection
@@ -49,10 +50,12 @@
         body: bytes | bytearray,
         keep_alive: bool,
         is_http_1_0: bool = False,
+        sent_s: float = 0.0,
     ) -> None:
         super().__init__(client, method, target, headers, body)
         self.head_memory = Reservation(memory)
         self.keep_alive = keep_alive  # the connection stays open after the response
+        self.sent_s = sent_s  # its client sent its first byte then or later, on the event loop's clock
         self.is_http_1_0 = is_http_1_0  # its client does not support the chunked transfer coding
         self.unwritten_response: bytes | None = None  # None until there is one, b"" once it is written
         self.body_stream: ResponseBodyStream | None = None  # the rest of a streamed response
--- a/gateusher/listeners/server.py
+++ b/gateusher/listeners/server.py
@@ -15,6 +15,7 @@
 from ..base.log import log_event
 from ..base.read_buffer import ReadBuffer
 from ..base.turn_queue import TurnQueue
+from ..config.class_history import ClassHistory
 from ..config.model import Names
 from ..core.engine import Engine
 from .accepting import CLOSED_AT_ONCE, Acceptor, create_listening_socket
@@ -24,7 +25,6 @@
 from .load_shedding import largest_slow_connections, slowest_connections
 
 MIN_IDLE_BEFORE_EVICTION_S = 0.05  # before a connection is closed because too many are idle
-PREVIOUS_CLASSES_S = 1.3  # after a reload; clients know of the new settings 1.2 s later
 DEFAULT_DRAIN_S = 3.4
 STOP_LISTENING_AFTER_S = 0.55  # of a drain; new connections arrive for 0.4 s after SIGTERM
 RECLAIM_SEARCH_INTERVAL_S = 0.01  # a search asks the kernel about each idle connection
@@ -47,6 +47,7 @@
         self,
         address: tuple[str, int],
         names: Names,
+        class_history: ClassHistory,
         engine: Engine,
         memory: MemoryBudget,
         descriptors: DescriptorBudget,
@@ -66,8 +67,7 @@
         self.turn_queue = TurnQueue(self.loop.call_soon)
         self.authority = authority.encode()
         self.is_rehearsal = False
-        self.previous_classes: dict[bytes, int] = {}  # class indexes by name as before the latest reload
-        self._previous_classes_until_s = 0.0
+        self.class_history = class_history
         self.lifecycle = Lifecycle()
         self._drain_s = DEFAULT_DRAIN_S
         self._descriptors = descriptors
@@ -184,8 +184,7 @@
     def sweep(self) -> None:
         """Enforce the limits of each connection and of all together; called at regular intervals."""
         now_s = self.loop.time()
-        if self.previous_classes and now_s > self._previous_classes_until_s:
-            self.previous_classes = {}
+        self.class_history.prune(now_s - self.engine.backlog.max_queued_ms(now_s * 1000) / 1000)
         for connection in list(self._connections):
             connection.enforce_time_limits(now_s)
         self._evict_idle(now_s)
@@ -224,12 +223,6 @@
         for connection in largest_slow_connections(self._connections, needed_bytes, self.loop.time()):
             connection.shed()
 
-    def apply_class_names(self, names: Names, previous_classes: dict[bytes, int]) -> None:
-        """Use these class names from now on, and for PREVIOUS_CLASSES_S the previous ones as well."""
-        self.names = names
-        self.previous_classes = previous_classes
-        self._previous_classes_until_s = self.loop.time() + PREVIOUS_CLASSES_S
-
     # -- lameduck
 
     @property
--- a/gateusher/node.py
+++ b/gateusher/node.py
@@ -17,6 +17,7 @@
 from .base.diagnostics import Diagnostics
 from .base.limits import BYTES_PER_MB, DescriptorBudget, MemoryBudget, SharedBudget
 from .base.log import log_event
+from .config.class_history import ClassHistory
 from .config.classes import RequestClass, RequestClassTable
 from .config.model import Config
 from .core.engine import TICK_MS, Engine
@@ -79,6 +80,7 @@
         self.settings = config.settings
         self.names = config.names
         self.classes = RequestClassTable(_request_classes(config))
+        self.class_history = ClassHistory(self.classes, config.settings.max_attempts)
         self.diagnostics = Diagnostics()
         self.engine = self._make_engine()
         self.upstream = self._make_upstream()
@@ -169,7 +171,9 @@
         Limits, zones, kinds, tenants and reports stay the same until the next start.
         """
         classes_in_use = {request.class_index for request in self.engine.requests.values()}
-        change = self.classes.change(_request_classes(config), classes_in_use)
+        change = self.class_history.change(
+            _request_classes(config), config.settings.max_attempts, classes_in_use, self.loop.time()
+        )
         self.settings = replace(
             self.settings,
             classes=tuple(request_class.settings for request_class in change.classes),
--- a/gateusher/policy/context.py
+++ b/gateusher/policy/context.py
@@ -8,7 +8,8 @@
 
 from collections.abc import Callable
 
-from .interface import Action, Effect, Settings, SettingsChanged
+from .interface import Action, Effect, RetryRules, Settings, SettingsChanged
+from .records import PendingRequest
 
 ENDPOINT_LIST_TIMER = 0  # timer token: poll the endpoint list
 HINT_EXPIRY_TIMER = -1  # timer token: a gossip hint expires
@@ -37,11 +38,13 @@
         self.never_repeat = change.never_repeat
         self._derive()
 
-    def effect(self, class_index: int) -> Effect:
-        """Return the effect of running a request of this class twice, by the strictest settings since it arrived."""
-        if class_index in self.never_repeat:
-            return Effect.NOT_IDEMPOTENT
-        return self.settings.classes[class_index].effect
+    def retry_rules(self, class_index: int) -> RetryRules:
+        """Return the rules for a new request of this class by the current settings."""
+        return RetryRules.of_class(self.settings.classes[class_index], self.settings.max_attempts)
+
+    def effect(self, request: PendingRequest) -> Effect:
+        """Return the effect of running this request twice, by the strictest settings since it arrived."""
+        return Effect.NOT_IDEMPOTENT if request.class_index in self.never_repeat else request.rules.effect
 
     def _derive(self) -> None:
         classes = [self.settings.classes[index] for index in self.live_classes]
--- a/gateusher/policy/endpoint_selection.py
+++ b/gateusher/policy/endpoint_selection.py
@@ -79,19 +79,18 @@
 
     def _select_in_deduplication_scope(self, request: PendingRequest, first: SentAttempt) -> EndpointRecord | None:
         """Select an endpoint for a keyed request that may have run: only where and while a retry is deduplicated."""
-        context, class_index = self._context, request.class_index
-        settings = context.settings.classes[class_index]
-        if not deduplication_window_open(first, settings, context.now_ms, context.settings.tick_ms):
+        context, class_index, rules = self._context, request.class_index, request.rules
+        if not deduplication_window_open(first, rules, context.now_ms, context.settings.tick_ms):
             return None
         candidates = [
             endpoint
             for endpoint in self._control_set.draw()
             if self._outliers.check_usable(endpoint, class_index)
-            and in_deduplication_scope(endpoint.entry, first.entry, settings.scope)
+            and in_deduplication_scope(endpoint.entry, first.entry, rules.scope)
         ]
         if candidates:
             return min(candidates, key=lambda endpoint: self._estimates.expected_latency_ms(endpoint, class_index))
         endpoint = first.endpoint
-        if endpoint.ready and in_deduplication_scope(endpoint.entry, first.entry, settings.scope):
+        if endpoint.ready and in_deduplication_scope(endpoint.entry, first.entry, rules.scope):
             return endpoint if endpoint.slow_start_until_ms <= context.now_ms else None
         return None
--- a/gateusher/policy/interface.py
+++ b/gateusher/policy/interface.py
@@ -75,6 +75,23 @@
     latency_objective_stretch: float = 0.0  # ms added to the objective per ms of a request's cost hint
 
 
+class RetryRules(NamedTuple):
+    """The rules that bind the retries of one request."""
+
+    effect: Effect
+    scope: DeduplicationScope  # where a keyed request that may have run may be retried
+    window_ms: float  # how long endpoints deduplicate the retries of a keyed request
+    max_attempts: int  # attempts including the first
+
+    @classmethod
+    def of_class(cls, settings: ClassSettings, max_attempts: int) -> RetryRules:
+        """Return the rules of a class where requests have at most `max_attempts` attempts."""
+        return cls(settings.effect, settings.scope, settings.window_ms, max_attempts)
+
+
+NO_RETRY: Final = RetryRules(Effect.NOT_IDEMPOTENT, DeduplicationScope.CELL, window_ms=0.0, max_attempts=1)
+
+
 @dataclass(slots=True, frozen=True)
 class Prices:
     """The simulator's price of each kind of cost, in points of its score.
@@ -163,6 +180,7 @@
     is_retry: bool = False  # not used in decisions
     is_write: bool = False  # not used in decisions
     upload_timeout_ms: float = 0.0  # time allowed for the body upload; `timeout_ms` counts from its last byte
+    rules: RetryRules | None = None  # None: those of its class, and the settings' attempt limit
 
 
 class AttemptEnded(NamedTuple):
--- a/gateusher/policy/records.py
+++ b/gateusher/policy/records.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from .interface import Endpoint
+from .interface import NO_RETRY, Endpoint, RetryRules
 
 LONG_AGO_MS = -1e12
 
@@ -85,7 +85,7 @@
     affinity_key: int
     started_at_ms: float
     deadline_ms: float
-    max_attempts: int = 1
+    rules: RetryRules = NO_RETRY
     time_limit_ms: float = 0.0  # time from the last byte of its body to its deadline
     is_upload: bool = False  # its body was still arriving when it was submitted
     attempts: list[SentAttempt] = field(default_factory=list)
--- a/gateusher/policy/requests.py
+++ b/gateusher/policy/requests.py
@@ -78,7 +78,7 @@
             event.affinity_key,
             self._context.now_ms,
             deadline_ms,
-            self._context.settings.max_attempts,
+            event.rules or self._context.retry_rules(class_index),
             time_limit_ms,
             event.upload_timeout_ms > 0,
         )
@@ -139,7 +139,7 @@
             return
         if event.outcome not in NEVER_EXECUTED:
             request.may_have_run = True
-            effect = self._context.effect(request.class_index)
+            effect = self._context.effect(request)
             if effect is Effect.NOT_IDEMPOTENT:
                 self._end(request)
                 return
@@ -173,7 +173,7 @@
         if attempts and left_ms < retries.min_time_ms(request):
             self._end(request)
             return
-        if request.may_have_run and self._context.effect(request.class_index) is Effect.NOT_IDEMPOTENT:
+        if request.may_have_run and self._context.effect(request) is Effect.NOT_IDEMPOTENT:
             self._end(request)  # the settings changed while the request was held
             return
         if attempts > request.attempts_at_backoff:
@@ -246,10 +246,9 @@
     def _end(self, request: PendingRequest) -> None:
         """End the request: reject it if a retry by the client is safe, and fail it otherwise."""
         self._endpoint_list.poll_on_shortage()
-        class_index = request.class_index
         may_have_run = request.may_have_run or request.in_flight > 0
-        dropped_everywhere = self._context.settings.classes[class_index].scope is DeduplicationScope.ALL
-        if may_reject(self._context.effect(class_index), may_have_run, dropped_everywhere):
+        dropped_everywhere = request.rules.scope is DeduplicationScope.ALL
+        if may_reject(self._context.effect(request), may_have_run, dropped_everywhere):
             retry_after_ms = self._retries.retry_after_ms(request)
             self._context.actions.append(Reject(request.request_id, retry_after_ms))
         else:
--- a/gateusher/policy/retries.py
+++ b/gateusher/policy/retries.py
@@ -52,7 +52,7 @@
 
     def max_attempts(self, request: PendingRequest) -> int:
         """Return the smaller of the attempt limits at the request's arrival and now."""
-        return min(request.max_attempts, self._context.settings.max_attempts)
+        return min(request.rules.max_attempts, self._context.settings.max_attempts)
 
     def min_time_ms(self, request: PendingRequest) -> float:
         """Return the remaining time below which another attempt can't be served in time."""
@@ -82,7 +82,7 @@
         """
         context = self._context
         deadline_ms = request.deadline_ms
-        if context.effect(request.class_index) is Effect.NOT_IDEMPOTENT:
+        if context.effect(request) is Effect.NOT_IDEMPOTENT:
             return deadline_ms
         if len(request.attempts) + 1 >= self.max_attempts(request):
             return deadline_ms
@@ -97,7 +97,7 @@
     def may_hedge(self, request: PendingRequest) -> bool:
         """Return whether a second attempt may be sent while the first is in flight."""
         context = self._context
-        if not context.settings.may_duplicate or context.effect(request.class_index) is not Effect.IDEMPOTENT:
+        if not context.settings.may_duplicate or context.effect(request) is not Effect.IDEMPOTENT:
             return False
         left_ms = request.deadline_ms - context.now_ms
         return len(request.attempts) < self.max_attempts(request) and left_ms >= self.min_time_ms(request)
--- a/gateusher/policy/sticky_endpoints.py
+++ b/gateusher/policy/sticky_endpoints.py
@@ -7,7 +7,7 @@
 
 from bisect import bisect
 
-from .interface import ClassSettings, DeduplicationScope, Endpoint
+from .interface import DeduplicationScope, Endpoint, RetryRules
 from .records import EndpointRecord, SentAttempt
 
 RING_POINTS = 8  # points of each endpoint on the ring
@@ -60,9 +60,9 @@
     return scope is DeduplicationScope.ZONE or endpoint.cell == first.cell
 
 
-def deduplication_window_open(first: SentAttempt, settings: ClassSettings, now_ms: float, tick_ms: float) -> bool:
+def deduplication_window_open(first: SentAttempt, rules: RetryRules, now_ms: float, tick_ms: float) -> bool:
     """Return whether retries of a keyed request that may have run first by `first` are still deduplicated.
 
     A tick is left for sending them.
     """
-    return now_ms < first.sent_at_ms + settings.window_ms - tick_ms
+    return now_ms < first.sent_at_ms + rules.window_ms - tick_ms
--- a/tests/checker/test_injected_faults.py
+++ b/tests/checker/test_injected_faults.py
@@ -31,7 +31,7 @@
 
 def ignore_stricter_effect(patch: pytest.MonkeyPatch) -> None:
     """An open request is retried by the effect of its own class, even after a stricter one was configured."""
-    patch.setattr(DecisionContext, "effect", lambda self, index: self.settings.classes[index].effect)
+    patch.setattr(DecisionContext, "effect", lambda self, request: request.rules.effect)
 
 
 def raise_on_disconnect(patch: pytest.MonkeyPatch) -> None:
--- a/tests/simulator/test_wire.py
+++ b/tests/simulator/test_wire.py
@@ -45,7 +45,7 @@
 def test_request_record() -> None:
     record = bytes.fromhex("04 0008abb35d3a91c4 4028000000000000 91f03b7c55d20a64 00000000 01406e000000000000 00")
     event = wire.EVENTS[4](record + bytes(9), 0)
-    assert event == (0x0008ABB35D3A91C4, 0, 240.0, 0x91F03B7C55D20A64, 0, 12.0, False, False, 0.0)
+    assert event == (0x0008ABB35D3A91C4, 0, 240.0, 0x91F03B7C55D20A64, 0, 12.0, False, False, 0.0, None)
 
 
 def test_outcome_record() -> None:
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -12,9 +12,9 @@
 from hypothesis import strategies as st
 
 from gateusher.cli.run import make_reloader
+from gateusher.config import class_history
 from gateusher.config.classes import RequestClass, RequestClassTable
 from gateusher.config.model import default_methods
-from gateusher.listeners import server as server_module
 from gateusher.policy.interface import (
     ClassSettings,
     ClientDisconnected,
@@ -23,6 +23,7 @@
     Outcome,
     Reject,
     Request,
+    RetryRules,
     Send,
     SetTimer,
     SettingsChanged,
@@ -72,6 +73,7 @@
     first: dict[bytes, ClassSettings], rest: list[tuple[dict[bytes, ClassSettings], int]]
 ) -> None:
     table = RequestClassTable(request_classes(first))
+    history = class_history.ClassHistory(table, max_attempts=3)
     open_slots: dict[int, RequestClass] = {}  # slots of open requests, with their class on arrival
     never_retried: set[int] = set()  # slots whose retry a later configuration forbids
     for config, seed in rest:
@@ -79,7 +81,7 @@
         open_slots = {slot: request_class for slot, request_class in open_slots.items() if rng.random() < 0.5}
         open_slots |= {slot: table.classes[slot] for slot in table.current.values() if rng.random() < 0.5}
         before, previous_classes = dict(table.current), list(table.classes)
-        change = table.change(request_classes(config), open_slots)
+        change = history.change(request_classes(config), 3, open_slots, now_s=0.0)
         assert all(change.classes[slot] == request_class for slot, request_class in open_slots.items())
         assert {name: change.classes[slot] for name, slot in table.current.items()} == {
             request_class.name: request_class for request_class in request_classes(config)
@@ -87,7 +89,13 @@
         assert all(change.classes[slot] == previous_classes[slot] for slot in before.values()), (
             "the class of a previous slot is kept"
         )
-        assert table.former == {n: s for n, s in before.items() if table.current.get(n) != s}
+        for name, slot in before.items():
+            old = previous_classes[slot]
+            meaning = history.meaning(name, min(old.methods), old.settings.effect is Effect.KEYED, sent_s=0.0)
+            assert meaning, "a former class is still understood"
+            assert name in table.current or meaning.class_index == slot, "a dropped class keeps its slot"
+            rules = meaning.rules or RetryRules.of_class(table.classes[meaning.class_index].settings, 3)
+            assert not is_stricter(old.settings.effect, rules.effect), "and its retries are not wider than they were"
         assert sorted(change.live) == sorted(table.current.values())
         assert len(set(change.live)) == len(config)
         unchanged = {
@@ -263,7 +271,7 @@
 def test_classes_are_added_removed_and_changed_while_requests_are_open(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(server_module, "PREVIOUS_CLASSES_S", 1e9)
+    monkeypatch.setattr(class_history, "CLIENTS_LEARN_S", 1e9)
 
     async def test() -> None:
         release, arrived = asyncio.Event(), asyncio.Event()
@@ -293,7 +301,7 @@
             head, _ = await opened
             assert status(head) == 502  # still unsafe: not retried, and no statement that a retry is harmless
             assert sum(b"open" in seen for seen in endpoint.request_heads) == 1
-            r.sidecar.server._previous_classes_until_s = 0.0
+            monkeypatch.setattr(class_history, "CLIENTS_LEARN_S", -1e9)
             r.sidecar.server.sweep()
             assert [
                 status((await r.request(data))[0])
