Reloads in a row: every configuration that clients may still go by counts

Cause: one former configuration was kept, and each reload replaced it, also one that changed another class. Of the attempt limit the engine and the policy took the smaller of those at arrival and now, so that a later, higher limit took a lower one back.

Change: `ClassHistory` keeps all former configurations until no request can mean them; the same settings again replace their earlier entry. A change of settings lowers the limit of open requests for good.

--- a/gateusher/config/class_history.py
+++ b/gateusher/config/class_history.py
@@ -70,7 +70,7 @@
         self._dropped = {name: slot for name, slot in (self._dropped | before).items() if name not in names}
         change = table.change(classes, {*slots_in_use, *self._dropped.values()})
         if table.current != before or max_attempts != self._max_attempts:
-            self._former = [ended]
+            self._former = [former for former in self._former if not former.is_same(ended)] + [ended]
         self._max_attempts = max_attempts
         return change
 
--- a/gateusher/core/engine.py
+++ b/gateusher/core/engine.py
@@ -241,6 +241,8 @@
     ) -> None:
         """Use these settings from now on; for the class parameters see `SettingsChanged`."""
         self._settings, self._methods = settings, methods
+        for request in self.requests.values():
+            request.rules = request.rules.limit_attempts(settings.max_attempts)
         self.deliver(SettingsChanged(settings, replaced_classes, live_classes, never_repeat))
 
     def close(self) -> None:
@@ -417,7 +419,7 @@
             request.rules.effect,
             request.may_have_run,
             number,
-            min(request.rules.max_attempts, self._settings.max_attempts),
+            request.rules.max_attempts,
             left_ms,
             MIN_ATTEMPT_MS,
             upload is not None and upload.is_discarded,
--- a/gateusher/policy/balancer.py
+++ b/gateusher/policy/balancer.py
@@ -103,6 +103,7 @@
     def _settings_changed(self, change: SettingsChanged) -> None:
         """Apply new settings; `SettingsChanged` says which of them apply to pending requests."""
         self.context.change_settings(change)
+        self.requests.settings_changed(change)
         self.estimates.change_classes(change)
         self.admission.change_classes(change)
         self.outliers.forget_classes(self.endpoint_list.endpoints.values(), change)
--- a/gateusher/policy/interface.py
+++ b/gateusher/policy/interface.py
@@ -88,6 +88,10 @@
         """Return the rules of a class where requests have at most `max_attempts` attempts."""
         return cls(settings.effect, settings.scope, settings.window_ms, max_attempts)
 
+    def limit_attempts(self, max_attempts: int) -> RetryRules:
+        """Return these rules with at most `max_attempts`."""
+        return self._replace(max_attempts=min(self.max_attempts, max_attempts))
+
 
 NO_RETRY: Final = RetryRules(Effect.NOT_IDEMPOTENT, DeduplicationScope.CELL, window_ms=0.0, max_attempts=1)
 
@@ -258,7 +262,7 @@
     """New settings.
 
     A pending request keeps its class index, which is not reused while the request is pending.  `never_repeat` and the
-    smaller of the old and the new `max_attempts` apply to it too.
+    smallest `max_attempts` since its arrival apply to it too.
     """
 
     settings: Settings  # includes the classes that only pending requests still have
--- a/gateusher/policy/requests.py
+++ b/gateusher/policy/requests.py
@@ -27,6 +27,7 @@
     ResponseStarted,
     Send,
     SetTimer,
+    SettingsChanged,
     UploadCompleted,
 )
 from .load_estimates import LoadEstimates
@@ -96,6 +97,11 @@
             request.started_at_ms = self._context.now_ms
             request.deadline_ms = self._context.now_ms + request.time_limit_ms
 
+    def settings_changed(self, change: SettingsChanged) -> None:
+        """Limit the attempts of pending requests to what the new settings allow."""
+        for request in self.pending.values():
+            request.rules = request.rules.limit_attempts(change.settings.max_attempts)
+
     def client_disconnected(self, event: ClientDisconnected) -> None:
         """Drop a request whose client has disconnected."""
         request = self.pending.get(event.request)
--- a/gateusher/policy/retries.py
+++ b/gateusher/policy/retries.py
@@ -51,8 +51,8 @@
         self._admission = admission
 
     def max_attempts(self, request: PendingRequest) -> int:
-        """Return the smaller of the attempt limits at the request's arrival and now."""
-        return min(request.rules.max_attempts, self._context.settings.max_attempts)
+        """Return the smallest of the attempt limits since the request's arrival."""
+        return request.rules.max_attempts
 
     def min_time_ms(self, request: PendingRequest) -> float:
         """Return the remaining time below which another attempt can't be served in time."""
--- a/tests/test_requests_around_reloads.py
+++ b/tests/test_requests_around_reloads.py
@@ -12,6 +12,8 @@
 
 RELOADS = {
     "one": ["new"],
+    "a second that changes another class": ["new", "other"],
+    "two more that change another class": ["new", "other", "third"],
     "the same file again": ["new", "new"],
 }
 
@@ -62,6 +64,65 @@
     run(test())
 
 
+def test_an_open_request_keeps_the_smallest_attempt_limit_over_reloads_in_a_row(tmp_path: Path) -> None:
+    """Guards against a limit that a second reload takes back: the open request may have been bound by it."""
+
+    async def test() -> None:
+        fleet = Fleet(run_time_s=0.1)
+        fleet.resets = 100
+        async with reloadable(fleet, tmp_path) as (running, file):
+            file.write_lanes(REQUEST_CLASSES[0], max_attempts=6)
+            open_requests = asyncio.create_task(send(running, "look", 4, method="GET", has_key=False))
+            await asyncio.sleep(0.05)
+            file.write_lanes(REQUEST_CLASSES[0], max_attempts=2)
+            file.write_lanes(REQUEST_CLASSES[0], max_attempts=6)
+            await open_requests
+            assert max(len(endpoints) for endpoints in fleet.runs.values()) == 2
+
+    run(test())
+
+
+EFFECTS_IN_A_ROW = [
+    ["at_most_once", "deduplicated", "idempotent"],
+    ["idempotent", "deduplicated", "at_most_once"],
+    ["deduplicated", "at_most_once", "idempotent"],
+]
+
+
+@pytest.mark.parametrize("effects", EFFECTS_IN_A_ROW, ids=" ".join)
+def test_each_form_of_a_class_is_understood_over_reloads_in_a_row(effects: list[str], tmp_path: Path) -> None:
+    """Guards against 400 and 405 for clients that go by the configuration before the last one."""
+
+    async def test() -> None:
+        fleet = Fleet()
+        fleet.resets = 0
+        async with reloadable(fleet, tmp_path) as (running, file):
+            for effect in effects:
+                file.write_lanes({**KEYED, "effect": effect}, OTHER)
+            for effect in effects:
+                assert await send(running, "book", 2, effect, **FORMS[effect]) == [200, 200]
+
+    run(test())
+
+
+def test_a_dropped_class_is_understood_over_reloads_in_a_row(tmp_path: Path) -> None:
+    """Guards against 400 for a class that the configuration before the last one has dropped."""
+
+    async def test() -> None:
+        fleet = Fleet()
+        async with reloadable(fleet, tmp_path) as (running, file):
+            file.write_lanes(KEYED, OTHER)
+            for weight in (2, 3, 4):
+                file.write_lanes({**OTHER, "worth": weight})
+            assert await send(running, "book", 8) == [200] * 8
+            assert not fleet.elsewhere
+            file.write_lanes({**KEYED, "group": "all"}, OTHER)  # it comes back, wider
+            await send(running, "book", 24, "back")
+            assert not fleet.elsewhere
+
+    run(test())
+
+
 @pytest.mark.parametrize("reloads", RELOADS)
 def test_a_new_class_works_at_once_by_its_own_rules(reloads: str, tmp_path: Path) -> None:
     """Guards against strictness where nothing older can be meant."""
