Requests read late: they mean the settings from when they were sent

Cause: how long a former configuration may be meant was counted up to when a request was read and, before this work, up to when it was complete.

Change: `UnreadInput` bounds when the first byte of a request was sent: at a stall of the event loop (`Backlog.longest_queued_ms`, also over stalls that follow each other), pauses in reading in a row, a late accept, and turns that input waited for. The bound is not the kernel's measurement, which is that of the latest byte: a pipelined request may be younger than the one before it. Deadlines still go by `max_queued_ms`.

--- a/gateusher/base/input_turns.py
+++ b/gateusher/base/input_turns.py
@@ -87,6 +87,11 @@
         """Whether input waits for the next turn."""
         return bool(self._waiting)
 
+    @property
+    def is_proceeding(self) -> bool:
+        """Whether the input that is handled now has waited for its turn."""
+        return self._is_proceeding
+
     @property
     def waiting_bytes(self) -> int:
         """The length of the input that waits."""
--- a/gateusher/core/backlog.py
+++ b/gateusher/core/backlog.py
@@ -21,11 +21,14 @@
         self._period_ms = period_ms
         self._last_tick_ms: float | None = None
         self._stalled_since_ms = 0.0
+        self._unread_since_ms = 0.0  # when the first of the stalls began that have followed each other since
         self._backlog_until_ms = 0.0
 
     def tick(self, now_ms: float) -> None:
         """Record an iteration of the event loop; input read later in the same iteration arrived before it."""
         if self._last_tick_ms is not None and now_ms - self._last_tick_ms > self._period_ms + LATE_TICK_MS:
+            if self._last_tick_ms > self._backlog_until_ms:
+                self._unread_since_ms = self._last_tick_ms
             self._stalled_since_ms = self._last_tick_ms
             self._backlog_until_ms = now_ms + BACKLOG_MS
         self._last_tick_ms = now_ms
@@ -39,6 +42,17 @@
             return now_ms - self._last_tick_ms
         return now_ms - self._stalled_since_ms if now_ms <= self._backlog_until_ms else 0.0
 
+    def longest_queued_ms(self, now_ms: float) -> float:
+        """Return a time for which no input read now has been queued longer; 0 if the event loop has not stalled.
+
+        A stall may follow another before all that arrived during that one is read.  `max_queued_ms` is closer to what
+        input has usually waited.
+        """
+        is_late = self._last_tick_ms is not None and now_ms - self._last_tick_ms > self._period_ms + LATE_TICK_MS
+        if is_late and self._last_tick_ms is not None and self._last_tick_ms > self._backlog_until_ms:
+            return now_ms - self._last_tick_ms
+        return now_ms - self._unread_since_ms if is_late or now_ms <= self._backlog_until_ms else 0.0
+
 
 def queued_ms(max_queued_ms: float, kernel_ms: float | None, slack_ms: float) -> float:
     """Return how long a request was queued unread, to be subtracted from its timeout.
--- a/gateusher/listeners/client_connection.py
+++ b/gateusher/listeners/client_connection.py
@@ -92,7 +92,6 @@
         self._discards_input = False  # the last response is being sent
         self._closing = False
         self._has_begun_request = False
-        self._request_sent_s = now_s  # when the latest request was sent, at the earliest
         self._unread_input = UnreadInput(owner.accept_queue_empty_at_s, owner.accept_is_late)
         self.last_active_s = now_s  # when it was accepted, or last written to
         self._receive_timer = ReceiveTimer(now_s)
@@ -175,6 +174,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse input of any length; the parser calls back for what it contains."""
+        if not self._turns.is_proceeding:
+            self._unread_input.input_read(self._owner.loop.time(), self._owner.engine.backlog)
         if self._discards_input:
             self._await_turn_to_discard()
             return
@@ -401,7 +402,7 @@
         if self._has_begun_request:
             self._receive_timer.restart(self._owner.loop.time())
         self._has_begun_request = True
-        self._request_sent_s = self._owner.loop.time()
+        self._unread_input.request_began()
 
     def on_request_line(self) -> None:
         """What has begun is a request.  Raises UnusableRequestError, which also bounds the work of a single read."""
@@ -503,7 +504,7 @@
             body,
             parser.keep_alive,
             parser.is_http_1_0,
-            self._request_sent_s,
+            self._unread_input.request_sent_s,
         )
         request.head_memory.set(parser.held_bytes + REQUEST_BYTES)
         return request
--- a/gateusher/listeners/server.py
+++ b/gateusher/listeners/server.py
@@ -184,7 +184,7 @@
     def sweep(self) -> None:
         """Enforce the limits of each connection and of all together; called at regular intervals."""
         now_s = self.loop.time()
-        self.class_history.prune(now_s - self.engine.backlog.max_queued_ms(now_s * 1000) / 1000)
+        self.class_history.prune(now_s - self.engine.backlog.longest_queued_ms(now_s * 1000) / 1000)
         for connection in list(self._connections):
             connection.enforce_time_limits(now_s)
         self._evict_idle(now_s)
--- a/tests/core/test_backlog.py
+++ b/tests/core/test_backlog.py
@@ -26,6 +26,20 @@
     assert backlog.max_queued_ms(1500.0 + BACKLOG_MS + 1.0) == 0.0
 
 
+def test_a_stall_that_follows_another_does_not_shorten_how_long_input_may_have_waited() -> None:
+    """Guards against taking input for younger, as it was not read between the two stalls."""
+    backlog = Backlog(100.0)
+    backlog.tick(1000.0)
+    backlog.tick(2500.0)
+    assert backlog.longest_queued_ms(2700.0) == 1700.0, "the next tick is late"
+    backlog.tick(2800.0)
+    assert backlog.longest_queued_ms(2810.0) == 1810.0
+    assert backlog.longest_queued_ms(2800.0 + BACKLOG_MS + 1.0) == 0.0
+    for tick_ms in (2900.0, 3000.0, 4000.0):
+        backlog.tick(tick_ms)
+    assert backlog.longest_queued_ms(4000.0) == 1000.0, "all was read before this stall"
+
+
 @pytest.mark.parametrize(
     ("max_queued_ms", "kernel_ms", "slack_ms", "result_ms"),
     [
