A new process binds requests by the settings that its predecessor had

Callers see keys run twice, 400 or 405 where an upgrade follows a reload, or brings a new file, within the time in which clients go by the old settings: the new process knew its own file alone.

Change: a process leaves its configurations, the current and the former ones, in a file beside its socket in the private folder, and the next one begins with them. A file and no message of the hand-over, as the predecessor may be held up or killed then. Their times are those of the monotonic clock, which all processes share; what was still in use ends when the new process serves. A class that was dropped gets a slot in the new process. The same settings in both processes change nothing.

Left: after a restart with an empty folder a process knows its own file alone.

--- a/gateusher/config/class_history.py
+++ b/gateusher/config/class_history.py
@@ -12,7 +12,8 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from math import inf
 from typing import Final, NamedTuple
 
 from ..policy.interface import Effect, RetryRules
@@ -30,7 +31,7 @@
 
     classes: Mapping[bytes, RequestClass]
     max_attempts: int
-    ended_s: float  # when another configuration replaced it
+    ended_s: float  # when another configuration replaced it; inf if none has
 
     def may_be_meant(self, sent_s: float) -> bool:
         """Return whether a request sent at `sent_s` may mean this configuration."""
@@ -63,9 +64,7 @@
         """Apply a new configuration.  `slots_in_use` are the slots of open requests."""
         table = self._table
         before = dict(table.current)
-        ended = FormerConfiguration(
-            {name: table.classes[slot] for name, slot in before.items()}, self._max_attempts, now_s
-        )
+        ended = self._current(now_s)
         names = {request_class.name for request_class in classes}
         self._dropped = {name: slot for name, slot in (self._dropped | before).items() if name not in names}
         change = table.change(classes, {*slots_in_use, *self._dropped.values()})
@@ -74,6 +73,40 @@
         self._max_attempts = max_attempts
         return change
 
+    def _current(self, ended_s: float) -> FormerConfiguration:
+        table = self._table
+        classes = {name: table.classes[slot] for name, slot in table.current.items()}
+        return FormerConfiguration(classes, self._max_attempts, ended_s)
+
+    # -- between two processes
+
+    def configurations(self) -> list[FormerConfiguration]:
+        """Return what a process that takes over has to know: the current configuration is last, and has not ended."""
+        return [*self._former, self._current(inf)]
+
+    def inherit(self, configurations: Sequence[FormerConfiguration]) -> ClassTableChange:
+        """Begin with the configurations of the process before this one, the oldest first.
+
+        What has not ended there ends with `take_over`.
+        """
+        current = self._current(inf)
+        self._former = [former for former in configurations if not former.is_same(current)]
+        dropped = {
+            name: request_class
+            for former in self._former
+            for name, request_class in former.classes.items()
+            if name not in self._table.current
+        }
+        self._dropped = {name: self._table.add_former(request_class) for name, request_class in dropped.items()}
+        replaced = tuple((slot, None) for slot in self._dropped.values())
+        return self._table.unchanged()._replace(replaced=replaced)
+
+    def take_over(self, now_s: float) -> None:
+        """This process serves from now on, by its own configuration."""
+        self._former = [replace(former, ended_s=min(former.ended_s, now_s)) for former in self._former]
+
+    # -- requests
+
     def meaning(self, name: bytes, method: bytes, has_key: bool, sent_s: float) -> ClassMeaning | None:
         """Return the class of a request sent at `sent_s` or later, or None if no configuration has it.
 
--- a/gateusher/config/classes.py
+++ b/gateusher/config/classes.py
@@ -44,6 +44,15 @@
         self.current: dict[bytes, int] = {request_class.name: i for i, request_class in enumerate(classes)}
         self._never_repeat: set[int] = set()  # slots whose class a later configuration made stricter
 
+    def add_former(self, request_class: RequestClass) -> int:
+        """Return a new slot for a class that only requests from before this process have."""
+        self.classes.append(request_class)
+        return len(self.classes) - 1
+
+    def unchanged(self) -> ClassTableChange:
+        """Return the table as it is, as a change that replaces nothing."""
+        return ClassTableChange(tuple(self.classes), (), tuple(self.current.values()), frozenset(self._never_repeat))
+
     def change(self, classes: Sequence[RequestClass], slots_in_use: Collection[int]) -> ClassTableChange:
         """Apply the classes of a new configuration.
 
@@ -52,9 +61,7 @@
         before = self.current
         replaced = self._assign_slots(classes, {*before.values(), *slots_in_use})
         self._forbid_retries(classes, {*before.values(), *slots_in_use} - set(self.current.values()))
-        return ClassTableChange(
-            tuple(self.classes), tuple(replaced), tuple(self.current.values()), frozenset(self._never_repeat)
-        )
+        return self.unchanged()._replace(replaced=tuple(replaced))
 
     def _assign_slots(self, classes: Sequence[RequestClass], slots_taken: set[int]) -> list[tuple[int, int | None]]:
         """Assign a slot to each class.  Returns the new slots, each with the previous slot of the same name."""
--- a/gateusher/daemon.py
+++ b/gateusher/daemon.py
@@ -18,6 +18,7 @@
 from .base.log import log_event
 from .base.memory_monitor import MemoryMonitor, Watermarks
 from .base.resident_memory import ResidentMemory
+from .config.history_file import HistoryFile
 from .config.model import Config
 from .handover.channel import Inheritance
 from .handover.transfer import ListenerTransfer
@@ -72,6 +73,7 @@
     def reclaim(self) -> None:
         """Accept clients and resume membership after the successor was lost."""
         self._sidecar.server.reclaim()
+        self._sidecar.save_configurations()
         if self._sidecar.members:
             self._sidecar.members.resume()
         if self._sidecar.lease_manager:
@@ -95,6 +97,9 @@
         self._inheritance = inheritance
         self._successor_path = successor_path
         self.node = Node(config)
+        self._history_file = HistoryFile(f"{successor_path}.settings") if successor_path else None
+        if self._history_file:
+            self.node.inherit_configurations(self._history_file.load(self._loop.time()))
         self.engine = self.node.engine
         self.discovery = self.node.discovery
         self.server = self._make_server(config.listen)
@@ -210,6 +215,8 @@
             self.lease_manager.open()
         if self._inheritance:
             await self._take_over(self._inheritance)
+        self.node.class_history.take_over(self._loop.time())
+        self.save_configurations()
         if self._successor_path:
             self.transfer.listen_for_successor(self._successor_path)
         if self.config.loads and self.node.gate:
@@ -305,6 +312,7 @@
         """Apply a new configuration on SIGHUP, as far as that is possible without a restart."""
         self.config = config
         self.node.apply_config(config)
+        self.save_configurations()
         if self.members and config.membership:
             self.members.reload(config.membership)
         elif self.members or config.membership:
@@ -314,6 +322,11 @@
         elif self.lease_manager or config.duties:
             log_event("duties", "start or stop with the next start, not by a reload")
 
+    def save_configurations(self) -> None:
+        """Leave the configurations to a process that takes over, unless one has."""
+        if self._history_file and not self.server.lifecycle.is_handed_over:
+            self._history_file.save(self.node.class_history.configurations())
+
     # -- graceful shutdown
 
     def drain(self) -> None:
--- a/gateusher/node.py
+++ b/gateusher/node.py
@@ -17,8 +17,8 @@
 from .base.diagnostics import Diagnostics
 from .base.limits import BYTES_PER_MB, DescriptorBudget, MemoryBudget, SharedBudget
 from .base.log import log_event
-from .config.class_history import ClassHistory
-from .config.classes import RequestClass, RequestClassTable
+from .config.class_history import ClassHistory, FormerConfiguration
+from .config.classes import ClassTableChange, RequestClass, RequestClassTable
 from .config.model import Config
 from .core.engine import TICK_MS, Engine
 from .discovery.catalog import Discovery
@@ -176,13 +176,28 @@
         )
         self.settings = replace(
             self.settings,
-            classes=tuple(request_class.settings for request_class in change.classes),
             max_attempts=config.settings.max_attempts,
             max_retry_after_ms=config.settings.max_retry_after_ms,
             dial_timeout_ms=config.settings.dial_timeout_ms,
             idle_ms=config.settings.idle_ms,
         )
         self.names = self.names._replace(classes=self.classes.current)
+        self._apply_classes(change)
+        self.upstream.apply_settings(self.settings)
+        if config.discovery and isinstance(self.discovery, Discovery):
+            self.discovery.change_address(config.discovery)
+        elif not config.discovery and not isinstance(self.discovery, Discovery):
+            self.discovery.replace(config.known)
+
+    def inherit_configurations(self, configurations: list[FormerConfiguration]) -> None:
+        """Serve requests that mean the configurations of the process before this one, until clients know this one."""
+        if configurations:
+            self._apply_classes(self.class_history.inherit(configurations))
+
+    def _apply_classes(self, change: ClassTableChange) -> None:
+        self.settings = replace(
+            self.settings, classes=tuple(request_class.settings for request_class in change.classes)
+        )
         self.engine.apply_settings(
             self.settings,
             tuple(request_class.methods for request_class in change.classes),
@@ -190,11 +205,6 @@
             change.live,
             change.never_repeat,
         )
-        self.upstream.apply_settings(self.settings)
-        if config.discovery and isinstance(self.discovery, Discovery):
-            self.discovery.change_address(config.discovery)
-        elif not config.discovery and not isinstance(self.discovery, Discovery):
-            self.discovery.replace(config.known)
 
     def set_limits(self, descriptors: int, memory_mb: float) -> None:
         """Apply other limits from now on; nothing in use is taken away."""
--- a/tests/handover/test_upgrade.py
+++ b/tests/handover/test_upgrade.py
@@ -64,7 +64,7 @@
         assert inheritance
         return inheritance
 
-    async def start_successor(self, inheritance: Inheritance) -> Sidecar:
+    async def start_successor(self, inheritance: Inheritance | None) -> Sidecar:
         sidecar = Sidecar(self.config, inheritance, self.path)
         self.sidecars.append(sidecar)
         await sidecar.start()
