SIGHUP comes before the requests that are read after it

Where the new settings are the stricter ones, a request would begin by the old ones for that moment.

Cause: the event loop only notes a signal as input of its own, behind that of the connections that became readable before it.

Change: the interpreter notes SIGHUP as soon as it runs any code, and a request is classified after a reload that is due. The event loop's handler stays, for a process without requests.

--- a/gateusher/cli/reload.py
+++ b/gateusher/cli/reload.py
@@ -1,12 +1,17 @@
 """SIGHUP: reload the configuration and apply it, or keep the old one; transient read errors are retried.
 
-`ConfigReloader` owns the timer of the next retry.
+`ConfigReloader` owns the timer of the next retry, and whether a signal is still to be handled.
+
+A process that was stopped may read its clients' requests before the event loop handles a signal that arrived before
+them.  The interpreter notes a signal as soon as it runs any code, so that the reload can come first.
 """
 
 from __future__ import annotations
 
 import asyncio
+import signal
 from collections.abc import Callable
+from types import FrameType
 from typing import Final
 
 from ..base.log import log_event
@@ -28,9 +33,27 @@
         self._sidecar = sidecar
         self._read_config = read_config
         self._retry: asyncio.TimerHandle | None = None
+        self._is_due = False
+
+    def install(self) -> None:
+        """Handle SIGHUP from now on, and before any request that is read after it."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, self.reload_if_due)
+        signal.signal(signal.SIGHUP, self._note_signal)  # the event loop is woken as before
+        self._sidecar.server.before_request = self.reload_if_due
+
+    def _note_signal(self, _number: int, _frame: FrameType | None) -> None:
+        """Run between any two instructions, so no more than this."""
+        self._is_due = True
+
+    def reload_if_due(self) -> None:
+        """Reload if SIGHUP has arrived since the latest reload."""
+        if self._is_due:
+            self._is_due = False
+            self.reload()
 
     def reload(self) -> None:
-        """Handle SIGHUP: read the configuration, with retries for RETRY_FOR_S."""
+        """Read the configuration, with retries for RETRY_FOR_S."""
         self._try_reload(asyncio.get_running_loop().time() + RETRY_FOR_S, is_retry=False)
 
     def _try_reload(self, retry_until_s: float, is_retry: bool) -> None:
--- a/gateusher/cli/run.py
+++ b/gateusher/cli/run.py
@@ -158,7 +158,7 @@
     loop = asyncio.get_running_loop()
     for number in SHUTDOWN_SIGNALS:
         loop.add_signal_handler(number, sidecar.drain)
-    loop.add_signal_handler(signal.SIGHUP, make_reloader(sidecar, path, os.environ).reload)
+    make_reloader(sidecar, path, os.environ).install()
     signals.unblock_signals()
 
 
--- a/gateusher/listeners/classification.py
+++ b/gateusher/listeners/classification.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Callable
 from typing import Protocol
 
 from ..base import proof
@@ -37,6 +38,7 @@
     lifecycle: Lifecycle
     names: Names
     class_history: ClassHistory
+    before_request: Callable[[], None]  # called before a request is classified
     authority: bytes  # the Host field for requests without one
     is_rehearsal: bool  # all endpoints are stand-ins
 
@@ -76,6 +78,7 @@
         if listener.is_rehearsal and path == REHEARSAL_PROOF_PATH:
             return _answer_challenge(request, query)
         return 400
+    listener.before_request()
     _read_fields(request, fields, query, listener.names)
     return _submit_by_class(request, class_name, deadline_ms, listener)
 
--- a/gateusher/listeners/server.py
+++ b/gateusher/listeners/server.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 from itertools import islice
 from math import inf
 
@@ -68,6 +69,7 @@
         self.authority = authority.encode()
         self.is_rehearsal = False
         self.class_history = class_history
+        self.before_request: Callable[[], None] = lambda: None
         self.lifecycle = Lifecycle()
         self._drain_s = DEFAULT_DRAIN_S
         self._descriptors = descriptors
