Replayed loads: classes are found by name at each request

Change: the index is looked up in the table of classes at each request. A request of a class that a reload has dropped counts as failed.

Test: test_a_load_goes_by_the_classes_of_the_latest_reload failed with the code before (index 0 where the class has 3; the table's names passed as they were), and passes.

--- a/gateusher/daemon.py
+++ b/gateusher/daemon.py
@@ -259,7 +259,7 @@
     def _make_load(self, load: Load, part: LoadPart | None = None) -> LoadRunner:
         from .load.runner import LoadRunner  # noqa: PLC0415 - only needed in a rehearsal
 
-        return LoadRunner(load, self.engine, self.node.memory, self.node.names.classes, self._ready_standins, part)
+        return LoadRunner(load, self.engine, self.node.memory, self.node.classes, self._ready_standins, part)
 
     def _ready_standins(self) -> int:
         return self.node.gate.ready if self.node.gate else 0
--- a/gateusher/load/runner.py
+++ b/gateusher/load/runner.py
@@ -18,6 +18,7 @@
 
 from ..base.limits import MemoryBudget
 from ..base.log import log_event
+from ..config.classes import RequestClassTable
 from ..config.file import Load
 from ..config.model import ConfigError, affinity_key_hash
 from ..core.engine import ClientRequest, Engine, FinalOutcome, FinalResponse
@@ -80,7 +81,7 @@
     `open` is the number of requests without a final response, `played` whether the source was played to its end, and
     `ended` is set when nothing more is sent.
 
-    :param classes: the index of each of the daemon's classes by name; the rules may name no other.
+    :param classes: the daemon's classes, which a reload may change; at the start they have all that the rules name.
     :param ready_endpoints: counts the endpoints that have proven to be stand-ins; nothing is sent while it gives 0.
     :param part: the requests that this process may play, where several daemons take turns; None for all.
     """
@@ -90,7 +91,7 @@
         load: Load,
         engine: Engine,
         memory: MemoryBudget,
-        classes: dict[bytes, int],
+        classes: RequestClassTable,
         ready_endpoints: Callable[[], int],
         part: LoadPart | None = None,
     ) -> None:
@@ -102,11 +103,11 @@
         self._ready_endpoints = ready_endpoints
         mapping, sources = _read_settings(load)
         for name in mapping.classes:
-            if name.encode() not in classes:
+            if name.encode() not in classes.current:
                 raise UnusableLoadError(f"load: {load.rules}: the daemon has no class {name!r}")
         self._mapper = Mapper(mapping)
         self._reading = Reading(sources, self._mapper, Faults(), 1)
-        self._engine_classes = [classes[name.encode()] for name in self._mapper.names]
+        self._classes = classes
         self._is_safe = [settings.effect == "safe" for settings in mapping.classes.values()]
         self._wire = Wire(self._mapper, random_run_name(), "replay")
         self.recorder = Recorder(len(self._mapper.names))
@@ -268,7 +269,11 @@
 
     def _submit(self, action: SendRequest) -> None:
         planned = action.planned
-        request = self._make_request(action)
+        class_index = self._classes.current.get(self._mapper.names[planned.cls].encode())
+        if class_index is None:  # a reload has dropped it
+            self.complete_request(action, Outcome.FAILED, NOT_MEASURED_S)
+            return
+        request = self._make_request(action, class_index)
         body_bytes = len(request.body)
         if body_bytes and not self._memory.acquire(body_bytes):
             self.complete_request(action, Outcome.HELD_BACK, NOT_MEASURED_S)
@@ -280,7 +285,7 @@
             return
         self.recorder.sent(planned, self._run_time(), action.due, body_bytes)
 
-    def _make_request(self, action: SendRequest) -> ClientRequest:
+    def _make_request(self, action: SendRequest, class_index: int) -> ClientRequest:
         planned = action.planned
         wire = self._wire
         body = wire.body(planned)
@@ -302,7 +307,7 @@
             wire.target(planned),
             headers,
             body,
-            self._engine_classes[planned.cls],
+            class_index,
             request_id,
         )
         request.has_idempotency_key = has_idempotency_key
