Core: what concerns one request's rules is with the request; one check for a stall

`Backlog` asked in three places whether a tick is late. No behaviour changes; tests/core, listeners and policy pass as before.

--- a/gateusher/core/backlog.py
+++ b/gateusher/core/backlog.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from math import inf
 from typing import Final
 
 LATE_TICK_MS: Final = 20.0  # a tick later than this shows that the process was stalled
@@ -19,26 +20,27 @@
 
     def __init__(self, period_ms: float) -> None:
         self._period_ms = period_ms
-        self._last_tick_ms: float | None = None
+        self._last_tick_ms = inf  # before the first tick nothing is late
         self._stalled_since_ms = 0.0
         self._unread_since_ms = 0.0  # when the first of the stalls began that have followed each other since
         self._backlog_until_ms = 0.0
 
     def tick(self, now_ms: float) -> None:
         """Record an iteration of the event loop; input read later in the same iteration arrived before it."""
-        if self._last_tick_ms is not None and now_ms - self._last_tick_ms > self._period_ms + LATE_TICK_MS:
+        if self._is_stalled(now_ms):
             if self._last_tick_ms > self._backlog_until_ms:
                 self._unread_since_ms = self._last_tick_ms
             self._stalled_since_ms = self._last_tick_ms
             self._backlog_until_ms = now_ms + BACKLOG_MS
         self._last_tick_ms = now_ms
 
-    def max_queued_ms(self, now_ms: float) -> float:
-        """Return the longest time that input read now can have been queued; 0 if the event loop has not stalled.
+    def _is_stalled(self, now_ms: float) -> bool:
+        """Return whether the next tick is late; an overdue one counts, as input may be read before timers run."""
+        return now_ms - self._last_tick_ms > self._period_ms + LATE_TICK_MS
 
-        An overdue tick counts as a late one, since a process that resumes may read before its timers run.
-        """
-        if self._last_tick_ms is not None and now_ms - self._last_tick_ms > self._period_ms + LATE_TICK_MS:
+    def max_queued_ms(self, now_ms: float) -> float:
+        """Return the longest time that input read now can have been queued; 0 if the event loop has not stalled."""
+        if self._is_stalled(now_ms):
             return now_ms - self._last_tick_ms
         return now_ms - self._stalled_since_ms if now_ms <= self._backlog_until_ms else 0.0
 
@@ -48,10 +50,10 @@
         A stall may follow another before all that arrived during that one is read.  `max_queued_ms` is closer to what
         input has usually waited.
         """
-        is_late = self._last_tick_ms is not None and now_ms - self._last_tick_ms > self._period_ms + LATE_TICK_MS
-        if is_late and self._last_tick_ms is not None and self._last_tick_ms > self._backlog_until_ms:
+        is_stalled = self._is_stalled(now_ms)
+        if is_stalled and self._last_tick_ms > self._backlog_until_ms:
             return now_ms - self._last_tick_ms
-        return now_ms - self._unread_since_ms if is_late or now_ms <= self._backlog_until_ms else 0.0
+        return now_ms - self._unread_since_ms if is_stalled or now_ms <= self._backlog_until_ms else 0.0
 
 
 def queued_ms(max_queued_ms: float, kernel_ms: float | None, slack_ms: float) -> float:
--- a/gateusher/core/engine.py
+++ b/gateusher/core/engine.py
@@ -193,7 +193,7 @@
             request.timeout_ms = timeout_ms
             self._deadlines.set(request, inf)
         self.requests[request.request_number] = request
-        self.ids.take(request.request_id, self._is_idempotent(request))
+        self.ids.take(request.request_id, request.is_idempotent)
 
     def upload_completed(self, request: ClientRequest, unread_ms: float = 0.0) -> None:
         """Start the request's timeout: the last byte of its upload has arrived (PROTOCOL, Figures).
@@ -294,7 +294,7 @@
         request.last_outcome = outcome
         if outcome not in NEVER_EXECUTED:
             request.attempt_may_have_run = True
-            self._bound_retries_by_window(request, attempt)
+            request.bound_retries_by_window(attempt.sent_ms, self._settings.tick_ms)
         if outcome is Outcome.OK:
             request.served = True
             self._serve(request, response)
@@ -307,17 +307,6 @@
         )
         self.deliver(event)
 
-    def _bound_retries_by_window(self, request: ClientRequest, attempt: RequestAttempt) -> None:
-        """Write no retry of a keyed request after its deduplication window.
-
-        The policy decides on a retry within the window, but the retry's connection may come up after it.  The window
-        counts from when the first attempt that may have run was made or, for an upload, from when its last byte was
-        written, since an endpoint does not begin to execute earlier.  Limitation: assumes a clock no coarser than the
-        settings' tick.
-        """
-        if request.has_idempotency_key and request.write_by_ms == inf:
-            request.write_by_ms = attempt.sent_ms + request.rules.window_ms - self._settings.tick_ms
-
     def _serve(self, request: ClientRequest, response: EndpointResponse) -> None:
         if request.state == OPEN:
             self._finish(request, CONCLUDE)
@@ -338,7 +327,7 @@
             return
         request.transition(RELEASE)
         del self.requests[request.request_number]
-        if request.may_have_run and not self._is_idempotent(request):
+        if request.may_have_run and not request.is_idempotent:
             self.ids.record_executed(request.request_id)
         self.ids.release(request.request_id)
         self._memory.release(len(request.body))
@@ -347,9 +336,6 @@
             request.upload.release()
         request.client.on_released(request)
 
-    def _is_idempotent(self, request: ClientRequest) -> bool:
-        return request.rules.effect is Effect.IDEMPOTENT
-
     def _conclude(self, request: ClientRequest, final: FinalResponse) -> None:
         """Deliver a final response that does not come from an endpoint."""
         reason = f"after {request.last_outcome.name.lower()}" if request.attempts_made else "never sent"
--- a/gateusher/core/requests.py
+++ b/gateusher/core/requests.py
@@ -145,6 +145,22 @@
         """Whether an endpoint may have begun to execute it."""
         return self.attempt_may_have_run or any(attempt.written for attempt in self.attempts.values())
 
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether running it twice does no harm."""
+        return self.rules.effect is Effect.IDEMPOTENT
+
+    def bound_retries_by_window(self, sent_ms: float, tick_ms: float) -> None:
+        """Write no retry of a keyed request after its deduplication window.
+
+        The policy decides on a retry within the window, but the retry's connection may come up after it.  The window
+        counts from `sent_ms`, when the first attempt that may have run was made or, for an upload, when its last byte
+        was written, since an endpoint does not begin to execute earlier.  Limitation: assumes a clock no coarser than
+        the settings' tick.
+        """
+        if self.has_idempotency_key and self.write_by_ms == inf:
+            self.write_by_ms = sent_ms + self.rules.window_ms - tick_ms
+
 
 def find_fault(
     request: ClientRequest, timeout_ms: float, class_settings: ClassSettings, methods: frozenset[bytes]
