--- a/gateusher/core/engine.py
+++ b/gateusher/core/engine.py
@@ -32,7 +32,6 @@
     Outcome,
     Reject,
     ResponseStalled,
-    RetryRules,
     Send,
     SetTimer,
     Settings,
@@ -48,7 +47,7 @@
 from .deadlines import RequestDeadlines
 from .policy_timers import PolicyTimers
 from .request_ids import RequestIds
-from .requests import ClientRequest, FinalOutcome, FinalResponse, RequestFault, find_fault, policy_event
+from .requests import ClientRequest, FinalOutcome, FinalResponse, RequestFault, class_rules, find_fault, policy_event
 from .states import ANSWERED, CONCLUDE, DISCONNECT, DISCONNECTED, OPEN, RELEASE, SUBMIT
 
 if TYPE_CHECKING:  # not imported at run time, to keep the daemon's start short
@@ -91,6 +90,7 @@
         self.requests: dict[int, ClientRequest] = {}  # by request number
         self._balancer = Balancer(settings, seed)
         self._settings = settings
+        self._rules = class_rules(settings)
         self._methods = methods
         self._clock = clock
         self._max_requests = max_requests
@@ -161,9 +161,9 @@
         A request with a fault is not accepted: the caller keeps it, and none of its callbacks is called.  `reserved`
         says that its id is already reserved.
         """
-        class_settings = self._settings.classes[request.class_index]
-        fault = find_fault(request, timeout_ms, class_settings, self._methods[request.class_index])
-        rules = request.former_rules or RetryRules.of_class(class_settings, self._settings.max_attempts)
+        class_index = request.class_index
+        rules = request.former_rules or self._rules[class_index]
+        fault = find_fault(request, timeout_ms, rules.effect is Effect.KEYED, self._methods[class_index])
         if fault is None and not reserved and self.ids.is_in_flight(request.request_id):
             fault = RequestFault.CONFLICT
         if fault is None and rules.effect is not Effect.IDEMPOTENT and self.ids.has_executed(request.request_id):
@@ -240,7 +240,7 @@
         never_repeat: frozenset[int] = frozenset(),
     ) -> None:
         """Use these settings from now on; for the class parameters see `SettingsChanged`."""
-        self._settings, self._methods = settings, methods
+        self._settings, self._methods, self._rules = settings, methods, class_rules(settings)
         for request in self.requests.values():
             request.rules = request.rules.limit_attempts(settings.max_attempts)
         self.deliver(SettingsChanged(settings, replaced_classes, live_classes, never_repeat))
--- a/gateusher/core/requests.py
+++ b/gateusher/core/requests.py
@@ -9,7 +9,7 @@
 from math import inf
 from typing import TYPE_CHECKING, Final, NamedTuple, Protocol
 
-from ..policy.interface import NO_RETRY, ClassSettings, Effect, Outcome, Request, RetryRules
+from ..policy.interface import NO_RETRY, Effect, Outcome, Request, RetryRules, Settings
 from ..upstream.interface import Attempt, EndpointResponse, Headers, OutgoingRequest
 from .states import OPEN, PREPARING, REQUEST
 
@@ -163,7 +163,7 @@
 
 
 def find_fault(
-    request: ClientRequest, timeout_ms: float, class_settings: ClassSettings, methods: frozenset[bytes]
+    request: ClientRequest, timeout_ms: float, is_keyed: bool, methods: frozenset[bytes]
 ) -> RequestFault | None:
     """Return what is wrong with a request of a class that allows these methods, or None if it is valid.
 
@@ -174,7 +174,7 @@
     if not request.request_id:
         return RequestFault.ID
     if request.former_rules is None:
-        mismatch = _find_mismatch(request, class_settings.effect is Effect.KEYED, methods)
+        mismatch = _find_mismatch(request, is_keyed, methods)
         if mismatch is not None:
             return mismatch
     if (request.body or request.upload) and request.method == b"GET":
@@ -192,6 +192,11 @@
     return RequestFault.KEY if request.has_idempotency_key is not is_keyed else None
 
 
+def class_rules(settings: Settings) -> tuple[RetryRules, ...]:
+    """Return the rules for new requests of each class, by class index."""
+    return tuple(RetryRules.of_class(class_settings, settings.max_attempts) for class_settings in settings.classes)
+
+
 def policy_event(request: ClientRequest, now_ms: float) -> Request:
     """Return the event that announces an accepted request to the policy."""
     return Request(
