--- a/gateusher/listeners/server.py
+++ b/gateusher/listeners/server.py
@@ -75,7 +75,6 @@
         self._descriptors = descriptors
         self._connections: set[ClientConnection] = set()
         self._next_search_s = -inf  # when a connection may be searched for again: there was none to be closed
-        self._attempts_without_connection = 0  # since connections were last closed for attempts
         self._next_room_s = -inf  # when slow connections may be closed again for attempts
         self._attach_tasks: set[asyncio.Task[object]] = set()
         listening_socket = inherited_socket
@@ -214,19 +213,12 @@
                 connection.close(CloseReason.LAMEDUCK)
 
     def make_room(self) -> None:
-        """Close the slowest connections, or else those that are not in use, as an attempt finds none to an endpoint.
-
-        Behind a client that reads slowly there is a connection to an endpoint, which is free with it.  The descriptor
-        of an unused one goes to the next client.
-        """
-        self._attempts_without_connection += 1
+        """Close connections that are not in use, or else the slowest, as attempts find none to an endpoint."""
         now_s = self.loop.time()
         if now_s >= self._next_room_s:
             self._next_room_s = now_s + MAKE_ROOM_INTERVAL_S
-            count = max(CLOSED_AT_ONCE, self._attempts_without_connection)
-            self._attempts_without_connection = 0
-            if not self.shed_slowest_connections(count):
-                self.reclaim_connections(count)
+            if not self.reclaim_connections(CLOSED_AT_ONCE):
+                self.shed_slowest_connections(CLOSED_AT_ONCE)
 
     def shed(self, needed_bytes: int) -> None:
         """Close the slowest connections, as the process is about to reach its memory limit."""
