--- a/gateusher/listeners/client_connection.py
+++ b/gateusher/listeners/client_connection.py
@@ -29,7 +29,6 @@
 from .close_reason import UNREACHABLE_CLIENT, CloseReason
 from .complete_request import CompleteRequest
 from .http_request import HttpRequest
-from .read_pace import Behind, ReadPace
 from .read_pause import PauseReason, ReadPause
 from .receive_timer import ReceiveTimer
 from .request_parser import RequestParser, UnusableRequestError
@@ -86,8 +85,7 @@
         self._read_size = ReadSize(owner.read_buffer)
         self._head_memory = Reservation(owner.memory)  # of a head that is not complete
         self._response_memory = Reservation(owner.memory)  # of responses that the kernel has not taken
-        self._read_pace = ReadPace()
-        self._pacer = StreamPacer(owner.loop, self._unsent_bytes, self._note_activity, self._read_pace)
+        self._pacer = StreamPacer(owner.loop, self._unsent_bytes, self._note_activity)
         self._transport: asyncio.Transport | None = None
         self._unanswered: deque[HttpRequest] = deque()  # without a complete response, in request order
         self._write_blocked = False  # the transport's write buffer is full
@@ -150,7 +148,6 @@
     def pause_writing(self) -> None:
         """The write buffer is full: a streamed response stops, and later ones wait."""
         self._write_blocked = True
-        self._read_pace.begin(Behind.WRITE_BUFFER, self._owner.loop.time())
         self._count_responses()
         stream = self._unanswered[0].body_stream if self._unanswered else None
         if stream and stream.sink:
@@ -159,7 +156,6 @@
     def resume_writing(self) -> None:
         """The write buffer has drained."""
         self._write_blocked = False
-        self._read_pace.end(Behind.WRITE_BUFFER, self._owner.loop.time())
         self._note_activity()
         self._count_responses()
         stream = self._unanswered[0].body_stream if self._unanswered else None
@@ -316,13 +312,6 @@
             return self.last_active_s
         return self.sending_since_s
 
-    @property
-    def reading_slowly_since_s(self) -> float | None:
-        """Since when its client has been behind with reading its responses; None if it isn't, or is not slow."""
-        if not self._read_pace.is_behind:
-            return None
-        return self._read_pace.slow_since_s(self._owner.loop.time(), self._all_unsent_bytes())
-
     # -- closing and time limits
 
     def shed(self) -> None:
@@ -650,7 +639,6 @@
         transport = self._transport
         if transport and not transport.is_closing() and data:
             self._note_activity()
-            self._read_pace.written(len(data))
             if request.is_chunked:
                 transport.writelines([b"%x\r\n" % len(data), data, b"\r\n"])
             else:
@@ -716,9 +704,6 @@
     def _unsent_bytes(self) -> int:
         return unsent_bytes(self._transport.get_extra_info("socket")) if self._transport else 0
 
-    def _all_unsent_bytes(self) -> int:
-        return self._unsent_bytes() + (self._transport.get_write_buffer_size() if self._transport else 0)
-
     def _note_activity(self) -> None:
         self.last_active_s = self._owner.loop.time()
 
@@ -736,9 +721,6 @@
                 return
             if first.unwritten_response:
                 data, first.unwritten_response = first.unwritten_response, b""
-                if (first.body_stream or self._read_pace.has_been_behind) and not self._all_unsent_bytes():
-                    self._read_pace.restart()
-                self._read_pace.written(len(data))
                 transport.write(data)
                 self._note_activity()
             if first.body_stream:
--- a/gateusher/listeners/load_shedding.py
+++ b/gateusher/listeners/load_shedding.py
@@ -34,10 +34,6 @@
     def slow_since_s(self) -> float | None:
         """Since when its client owes the rest of a request or has not read a response; None if neither."""
 
-    @property
-    def reading_slowly_since_s(self) -> float | None:
-        """Since when its client has been behind with its responses and slow; None if it isn't."""
-
 
 ConnectionT = TypeVar("ConnectionT", bound=SheddableConnection)
 
@@ -61,23 +57,15 @@
 
 
 def slowest_connections(connections: Iterable[ConnectionT], count: int, now_s: float) -> list[ConnectionT]:
-    """Return up to `count` connections whose clients have sent or read slowly for MIN_SLOW_S or more.
-
-    Sending slowly is to owe the rest of a request, reading slowly to be behind with a response at a slow pace.
-    """
+    """Return up to `count` connections whose clients have owed the rest of a request for MIN_SLOW_S or more."""
     slow = [
         _SlowConnection(connection, now_s - since_s)
         for connection in connections
-        if (since_s := _slow_since_s(connection)) is not None and now_s - since_s >= MIN_SLOW_S
+        if (since_s := connection.sending_since_s) is not None and now_s - since_s >= MIN_SLOW_S
     ]
     return _by_byte_seconds(slow, count)
 
 
-def _slow_since_s(connection: SheddableConnection) -> float | None:
-    sending_since_s = connection.sending_since_s
-    return connection.reading_slowly_since_s if sending_since_s is None else sending_since_s
-
-
 class _SlowConnection(NamedTuple, Generic[ConnectionT]):
     connection: ConnectionT
     slow_s: float
--- a/gateusher/listeners/stream_pacer.py
+++ b/gateusher/listeners/stream_pacer.py
@@ -12,7 +12,6 @@
 from typing import Final
 
 from ..upstream.interface import ResponseBodyStream
-from .read_pace import Behind, ReadPace
 
 MAX_UNSENT_BYTES: Final = 131072  # in the kernel, before the endpoint is read again
 MIN_CHECK_INTERVAL_S: Final = 0.001  # doubled with each check that finds too much
@@ -23,17 +22,12 @@
     """The pace of the stream that is written to one connection."""
 
     def __init__(
-        self,
-        loop: asyncio.AbstractEventLoop,
-        unsent_bytes: Callable[[], int],
-        on_progress: Callable[[], None],
-        read_pace: ReadPace,
+        self, loop: asyncio.AbstractEventLoop, unsent_bytes: Callable[[], int], on_progress: Callable[[], None]
     ) -> None:
         """`unsent_bytes` tells what the client's socket holds; `on_progress` is called when the client takes some."""
         self._loop = loop
         self._unsent_bytes = unsent_bytes
         self._on_progress = on_progress
-        self._read_pace = read_pace
         self._stream: ResponseBodyStream | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._interval_s = MIN_CHECK_INTERVAL_S
@@ -59,8 +53,6 @@
 
     def stop(self) -> None:
         """Forget the stream: it has ended, or its connection has."""
-        if self._stream is not None:
-            self._read_pace.end(Behind.STREAM, self._loop.time())
         self._stream = None
         if self._timer:
             self._timer.cancel()
@@ -79,7 +71,6 @@
     def _wait(self, stream: ResponseBodyStream) -> None:
         if self._stream is None:
             self._stream = stream
-            self._read_pace.begin(Behind.STREAM, self._loop.time())
             self._interval_s = MIN_CHECK_INTERVAL_S
             self._timer = self._loop.call_later(self._interval_s, self._check)
 
