SIGHUP without end: system calls go on, and the same settings are written once

Cause: signal.signal lets signals interrupt system calls again, which the event loop's handler had switched off, so that each call began anew; and each reload wrote the configurations to the file, also where nothing had changed.

Change: siginterrupt as the event loop does it; the file is written where it changes, and again once a successor was lost.

--- a/gateusher/cli/reload.py
+++ b/gateusher/cli/reload.py
@@ -40,6 +40,7 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self.reload_if_due)
         signal.signal(signal.SIGHUP, self._note_signal)  # the event loop is woken as before
+        signal.siginterrupt(signal.SIGHUP, False)  # as the event loop does: system calls go on
         self._sidecar.server.before_request = self.reload_if_due
 
     def _note_signal(self, _number: int, _frame: FrameType | None) -> None:
--- a/gateusher/config/history_file.py
+++ b/gateusher/config/history_file.py
@@ -40,6 +40,7 @@
 
     def __init__(self, path: str) -> None:
         self._path = path
+        self._saved: list[FormerConfiguration] = []  # what the file holds, as far as this process knows
 
     def load(self, now_s: float) -> list[FormerConfiguration]:
         """Return what the process before left, the oldest first; nothing if there is no usable file.
@@ -56,8 +57,17 @@
             return []
         return [former for former in configurations if former.ended_s <= now_s or former.ended_s == inf]
 
+    def forget_saved(self) -> None:
+        """Another process has written the file since."""
+        self._saved = []
+
     def save(self, configurations: list[FormerConfiguration]) -> None:
-        """Replace the file.  An error is logged: a process that takes over then knows its own settings alone."""
+        """Replace the file if it changes.
+
+        An error is logged: a process that takes over then knows its own settings alone.
+        """
+        if configurations == self._saved:
+            return
         content = {"version": VERSION, "configurations": [_encode(former) for former in configurations]}
         new_path = f"{self._path}.{os.getpid()}"
         try:
@@ -65,6 +75,7 @@
             with open(fd, "w", encoding="utf-8") as file:
                 json.dump(content, file)
             os.replace(new_path, self._path)
+            self._saved = configurations
         except OSError as error:
             log_event("former settings not written", error)
             with suppress(OSError):
--- a/gateusher/daemon.py
+++ b/gateusher/daemon.py
@@ -73,7 +73,7 @@
     def reclaim(self) -> None:
         """Accept clients and resume membership after the successor was lost."""
         self._sidecar.server.reclaim()
-        self._sidecar.save_configurations()
+        self._sidecar.save_configurations_again()
         if self._sidecar.members:
             self._sidecar.members.resume()
         if self._sidecar.lease_manager:
@@ -327,6 +327,12 @@
         if self._history_file and not self.server.lifecycle.is_handed_over:
             self._history_file.save(self.node.class_history.configurations())
 
+    def save_configurations_again(self) -> None:
+        """Leave them although they are the same: a successor that was lost has written the file."""
+        if self._history_file:
+            self._history_file.forget_saved()
+        self.save_configurations()
+
     # -- graceful shutdown
 
     def drain(self) -> None:
--- a/tests/test_class_history.py
+++ b/tests/test_class_history.py
@@ -193,6 +193,22 @@
     assert [path.name for path in tmp_path.iterdir()] == ["settings"], "no half of a file stays"
 
 
+def test_the_file_is_written_again_only_where_it_changes(tmp_path: Path) -> None:
+    """Guards against a write at each of many reloads of the same settings."""
+    path = tmp_path / "settings"
+    file = HistoryFile(str(path))
+    file.save([CURRENT])
+    path.unlink()
+    file.save([CURRENT])
+    assert not path.exists()
+    file.forget_saved()
+    file.save([CURRENT])
+    assert file.load(60.0) == [CURRENT]
+    path.unlink()
+    file.save([CONFIGURATION, CURRENT])
+    assert file.load(60.0) == [CONFIGURATION, CURRENT]
+
+
 def test_keys_of_a_later_release_are_skipped(tmp_path: Path) -> None:
     path = tmp_path / "settings"
     file = HistoryFile(str(path))
